--- /dev/null
+++ b/drill/src/main.rs
@@ -0,0 +1,295 @@
+//! The simulator's wire on standard input and output: one balancer for each instance, nothing shared.
+//! Decodes fields and passes them on; decides nothing.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::io::{self, BufRead, Write};
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use pinefront::{Balancer, Effect, Ending, Group, Host, Micros, Terms, UseCase, Warming};
+use serde_json::Value;
+
+type Decoded<T> = Result<T, String>;
+
+/// Writes an instance's actions into the reply under way.
+struct Wire {
+    instance: u64,
+    reply: Rc<RefCell<String>>,
+}
+
+impl Wire {
+    fn order(&self, name: &str, fields: std::fmt::Arguments) {
+        let mut reply = self.reply.borrow_mut();
+        let comma = if reply.ends_with('}') { "," } else { "" };
+        let written = write!(reply, "{comma}{{\"t\":\"{name}\",\"i\":{}{fields}}}", self.instance);
+        debug_assert!(written.is_ok());
+    }
+}
+
+/// Text as JSON, quotes and escapes included.
+fn quoted(text: &str) -> Value {
+    Value::from(text)
+}
+
+impl Host for Wire {
+    fn dispatch(&mut self, ticket: &str, upstream: &str, expire_at: Micros) {
+        let (ticket, upstream) = (quoted(ticket), quoted(upstream));
+        self.order(
+            "Try",
+            format_args!(",\"req\":{ticket},\"expireAtUs\":{expire_at},\"upstream\":{upstream}"),
+        );
+    }
+    fn call_off(&mut self, ticket: &str, dispatch: usize) {
+        let ticket = quoted(ticket);
+        self.order("CallOff", format_args!(",\"req\":{ticket},\"trial\":{dispatch}"));
+    }
+    fn dismiss(&mut self, ticket: &str, come_back_after: Micros) {
+        let ticket = quoted(ticket);
+        self.order("PushBack", format_args!(",\"req\":{ticket},\"waitUs\":{come_back_after}"));
+    }
+    fn abandon(&mut self, ticket: &str) {
+        let ticket = quoted(ticket);
+        self.order("Fail", format_args!(",\"req\":{ticket}"));
+    }
+    fn wake(&mut self, after: Micros, alarm: u64) {
+        self.order("SetAlarm", format_args!(",\"fromNowUs\":{after},\"keyBack\":{alarm}"));
+    }
+    fn follow_list(&mut self) {
+        self.order("Follow", format_args!(",\"on\":true"));
+    }
+}
+
+fn field<'a, T>(object: &'a Value, name: &str, read: impl Fn(&'a Value) -> Option<T>) -> Decoded<T> {
+    match object.get(name) {
+        None => Err(format!("field '{name}' is missing")),
+        Some(value) => read(value).ok_or_else(|| format!("field '{name}' has the wrong type")),
+    }
+}
+
+fn optional<'a, T>(
+    object: &'a Value,
+    name: &str,
+    read: impl Fn(&'a Value) -> Option<T>,
+) -> Decoded<Option<T>> {
+    match object.get(name) {
+        None | Some(Value::Null) => Ok(None),
+        Some(_) => field(object, name, read).map(Some),
+    }
+}
+
+fn whole(object: &Value, name: &str) -> Decoded<u64> {
+    field(object, name, Value::as_u64)
+}
+fn number(object: &Value, name: &str) -> Decoded<f64> {
+    field(object, name, Value::as_f64)
+}
+fn text<'a>(object: &'a Value, name: &str) -> Decoded<&'a str> {
+    field(object, name, Value::as_str)
+}
+fn list<'a>(object: &'a Value, name: &str) -> Decoded<&'a Vec<Value>> {
+    field(object, name, Value::as_array)
+}
+fn flag(object: &Value, name: &str) -> Decoded<bool> {
+    Ok(optional(object, name, Value::as_bool)?.unwrap_or(false))
+}
+fn part<'a>(object: &'a Value, name: &str) -> Decoded<&'a Value> {
+    field(object, name, |value| value.is_object().then_some(value))
+}
+fn count(object: &Value, name: &str) -> Decoded<usize> {
+    usize::try_from(whole(object, name)?).map_err(|_| format!("field '{name}' is too large"))
+}
+
+fn use_case(class: &Value) -> Decoded<UseCase> {
+    let effect = match text(class, "effect")? {
+        "safe" => Effect::Redoable,
+        "unsafe" => Effect::Irreversible,
+        "keyed" => Effect::Labelled {
+            group: match text(class, "dedupScope")? {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                other => return Err(format!("field 'dedupScope' holds unknown '{other}'")),
+            },
+            window: whole(class, "dedupWindowUs")?,
+        },
+        other => return Err(format!("field 'effect' holds unknown '{other}'")),
+    };
+    Ok(UseCase { promised_time: whole(class, "promisedTimeUs")?, effect })
+}
+
+fn terms(conf: &Value) -> Decoded<Terms> {
+    let (caps, rules) = (part(conf, "caps")?, part(conf, "rules")?);
+    let family = optional(conf, "familyInfo", Some)?.unwrap_or(&Value::Null);
+    let accounts = optional(conf, "accounts", Value::as_array)?;
+    Ok(Terms {
+        balancers: count(conf, "fleetSize")?,
+        zone: whole(conf, "zone")?,
+        ask_within: match text(conf, "registryMode")? {
+            "ask" => Some(whole(rules, "askWithinUs")?),
+            _ => None,
+        },
+        weights_listed: text(conf, "weightKind")? != "off",
+        keys_kept: flag(family, "warmKeys")?,
+        may_call_off: flag(caps, "cancel")?,
+        second_copies: flag(caps, "secondCopies")?,
+        most_dispatches: count(caps, "maxDispatches")?,
+        longest_come_back: match flag(caps, "retryAfter")? {
+            true => whole(caps, "maxRetryAfterUs")?,
+            false => 0,
+        },
+        warming: Warming {
+            starts_at: number(rules, "coldFrom")?,
+            warm_after: whole(rules, "warmUpUs")?,
+            multiple: number(rules, "tipMultiple")?,
+            span: whole(rules, "fallUs")?,
+        },
+        use_cases: list(conf, "useCases")?.iter().map(use_case).collect::<Decoded<_>>()?,
+        allowances: match accounts {
+            None => Vec::new(),
+            Some(accounts) => {
+                accounts.iter().map(|account| number(account, "allowancePerS")).collect::<Decoded<_>>()?
+            }
+        },
+    })
+}
+
+fn ending(how: &str) -> Decoded<Ending> {
+    Ok(match how {
+        "pass" => Ending::Succeeded,
+        "fault" => Ending::Failed,
+        "no_room" => Ending::TurnedAway,
+        "too_slow" => Ending::Silent,
+        "no_route" => Ending::Unreachable,
+        "cut" => Ending::Broken,
+        "undone" => Ending::CalledOff,
+        "stale_send" => Ending::NeverSent,
+        other => return Err(format!("field 'how' holds unknown '{other}'")),
+    })
+}
+
+fn take_list(balancer: &mut Balancer<Wire>, now: Micros, event: &Value) -> Decoded<()> {
+    let complete = match text(event, "scope")? {
+        "failed" => {
+            balancer.list_failed();
+            return Ok(());
+        }
+        "delta" => false,
+        "full" | "cached" => true,
+        other => return Err(format!("field 'scope' holds unknown '{other}'")),
+    };
+    balancer.list_begins(complete);
+    for entry in list(event, "membersList")? {
+        balancer.list_entry(
+            text(entry, "upstream")?,
+            whole(entry, "site")?,
+            whole(entry, "group")?,
+            match text(entry, "phase")? {
+                "IN" => true,
+                "LAME" | "OUT" => false,
+                other => return Err(format!("field 'phase' holds unknown '{other}'")),
+            },
+            number(entry, "weight")?,
+            optional(entry, "launchedUs", Value::as_u64)?.unwrap_or(0),
+        );
+    }
+    balancer.list_ends(now);
+    Ok(())
+}
+
+fn take_load(balancer: &mut Balancer<Wire>, now: Micros, event: &Value) -> Decoded<()> {
+    if let Some(report) = optional(event, "serverStats", Some)? {
+        balancer.load_reported(
+            now,
+            text(event, "upstream")?,
+            optional(report, "busy", Value::as_f64)?,
+            optional(report, "q", Value::as_f64)?.or(optional(report, "rif", Value::as_f64)?),
+        );
+    }
+    Ok(())
+}
+
+type Instances = HashMap<u64, Balancer<Wire>>;
+
+fn take(instances: &mut Instances, reply: &Rc<RefCell<String>>, now: Micros, event: &Value) -> Decoded<()> {
+    let (name, instance) = (text(event, "t")?, whole(event, "i")?);
+    if name == "Enlist" {
+        let host = Wire { instance, reply: Rc::clone(reply) };
+        let terms = terms(part(event, "conf")?)?;
+        let seed = whole(event, "nonce64")?;
+        instances.insert(instance, Balancer::start(host, seed, terms, now));
+        return Ok(());
+    }
+    let Some(balancer) = instances.get_mut(&instance) else {
+        return Ok(());
+    };
+    match name {
+        "Killed" => {
+            instances.remove(&instance);
+        }
+        "Sync" => take_list(balancer, now, event)?,
+        "Call" => balancer.ticket_arrived(
+            now,
+            text(event, "req")?,
+            count(event, "qos")?,
+            optional(event, "clientGroup", Value::as_u64)?.unwrap_or(0) as usize,
+            optional(event, "targetKey", Value::as_u64)?,
+            whole(event, "deadlineUs")?,
+            match optional(event, "stateBits", Value::as_u64)?.unwrap_or(0) & 1 {
+                1 => optional(event, "hintUs", Value::as_u64)?,
+                _ => None,
+            },
+        ),
+        "Ended" => {
+            take_load(balancer, now, event)?;
+            balancer.dispatch_ended(
+                now,
+                text(event, "req")?,
+                count(event, "trial")?,
+                flag(event, "settled")?,
+                ending(text(event, "how")?)?,
+                whole(event, "delaySeenUs")?,
+            );
+        }
+        "FirstByte" => balancer.stream_began(text(event, "req")?),
+        "Gone" => balancer.client_left(now, text(event, "req")?),
+        "Elapsed" => balancer.alarm_rang(now, whole(event, "keyBack")?),
+        "CheckResult" => take_load(balancer, now, event)?,
+        _ => {}
+    }
+    Ok(())
+}
+
+fn play(input: impl BufRead, mut output: impl Write) -> Decoded<()> {
+    let mut instances = Instances::new();
+    let reply = Rc::new(RefCell::new(String::new()));
+    for line in input.lines() {
+        let line = line.map_err(|problem| format!("cannot read: {problem}"))?;
+        let batch: Value = serde_json::from_str(&line).map_err(|problem| format!("not JSON: {problem}"))?;
+        let now = whole(&batch, "tUs")?;
+        reply.borrow_mut().push_str("{\"orders\":[");
+        for (place, event) in list(&batch, "msgs")?.iter().enumerate() {
+            take(&mut instances, &reply, now, event)
+                .map_err(|problem| format!("message {place} of batch {now}: {problem}"))?;
+        }
+        let mut reply = reply.borrow_mut();
+        reply.push_str("]}\n");
+        output
+            .write_all(reply.as_bytes())
+            .and_then(|()| output.flush())
+            .map_err(|problem| format!("cannot write: {problem}"))?;
+        reply.clear();
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match play(io::stdin().lock(), io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("pinefront-drill: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,881 @@
+//! Every decision of the balancer. [`Balancer::start`] takes the [`Host`] it acts through (`lib.rs`); then
+//! one method is called for each thing that happens, with the time, and acts by calling the host.
+//!
+//! The ordinary path is `place`: features, priorities, projection, draw (see `docs/design.md`). Beside it
+//! stand six mechanisms:
+//! 1. following the list and drains (`list_*`);
+//! 2. the cold allowance (`cold_room`);
+//! 3. suspicion of silent or failing upstreams, and trials for their return (`suspect`);
+//! 4. further dispatches and patience (`may_spend_more`, `patience_ran_out`);
+//! 5. the in-flight limit, and holding or dismissing beyond it (`admit`, `pump`);
+//! 6. account shares under pressure (`within_share`).
+//!
+//! Every dispatch passes `send`, and there the rules are kept by `permitted`.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use nanorand::{Rng, WyRand};
+
+use crate::fading::{Fading, Mean};
+use crate::{Effect, Ending, Group, Host, Micros, Terms};
+
+#[cfg(test)]
+mod tests;
+
+const SECOND: f64 = 1e6;
+
+/// Features of an upstream for one ticket, each about 0 for an average one: constant, own latency, reported
+/// utilisation, own in flight, capacity, same zone, key likely met, reported queue.
+const FEATURES: usize = 8;
+/// The constant puts an average upstream on the bent part of softplus, where weights act as exponents; own
+/// in-flight is the freshest sign of load and weighs most.
+const START: [f64; FEATURES] = [-2.0, -1.0, -0.3, -3.0, 1.0, 0.5, 3.0, -0.3];
+/// A weight stays between these parts of its start value, so that none changes sign, vanishes or runs off.
+const FLOOR: f64 = 0.25;
+const CEILING: f64 = 2.0;
+/// Ratios enter as logarithms, bounded so that no single reading decides alone.
+const WIDEST: f64 = 3.0;
+/// Upstreams a key is spread over, each with less pull than the one before.
+const KEY_RANKS: u8 = 3;
+const STEP: f64 = 0.1;
+/// The paper's ε.
+const CLIP: f64 = 0.2;
+const EPOCHS: usize = 2;
+/// Share of the way back to the start weights at each update: few or odd payoffs cannot add up to a drift.
+const ANCHOR: f64 = 0.02;
+const OUTCOMES_AN_UPDATE: usize = 256;
+const UPDATE_EVERY: Micros = 2_000_000;
+/// Payoffs are shares of the usual; above this a lucky small ticket says nothing more.
+const BEST_PAYOFF: f64 = 3.0;
+
+/// Horizons of what must follow the present, and of what describes a machine.
+const RECENT: f64 = 2.0 * SECOND;
+const LASTING: f64 = 15.0 * SECOND;
+
+/// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
+const SILENT: f64 = 4.0;
+/// Failed share, beyond twice the fleet's, that makes an upstream failing, and the failures needed.
+const FAILING: f64 = 0.3;
+const FAILURES: f64 = 1.5;
+/// First wait before a trial, in expected answer times; doubled at each failed trial so many times.
+const TRIAL_WAIT: f64 = 3.0;
+const TRIAL_DOUBLINGS: u32 = 4;
+/// A failure counts as an answer this many times as late as usual, or as late as it was.
+const FAILURE_LATENCY: f64 = 3.0;
+
+/// Patience in expected answer times before a further dispatch.
+const PATIENCE: f64 = 3.0;
+/// Further dispatches as a share of tickets when all the recent ones succeeded, and some always open so
+/// that a quiet balancer can act at all.
+const FURTHER: f64 = 0.3;
+const FURTHER_FREE: f64 = 2.0;
+
+/// The shortest answer time follows quicker answers at the first rate and slower ones at the second, so it
+/// stays near the low end of what the upstream does, and a lasting change is learned.
+const QUICKER: f64 = 0.1;
+const SLOWER: f64 = 0.01;
+/// What is kept in flight, against what the shortest answer times would need: one served, one waiting, and
+/// as much again because the shortest lies below the mean.
+const STRETCH: f64 = 2.5;
+/// In flight for each ready upstream, over all balancers, that is never denied: less would leave cores idle.
+const LEAST_EACH: f64 = 2.0;
+/// Part of the limit from which tickets beyond their account's share are dismissed.
+const PRESSED: f64 = 0.75;
+/// How often held tickets are looked at when nothing else happens.
+const PUMP_EVERY: Micros = 10_000;
+/// Expected answer times that must be left when a held ticket is sent.
+const TIME_LEFT: f64 = 2.0;
+
+/// Share of a cold upstream's budget that is used: its true capacity is a guess.
+const COLD_MARGIN: f64 = 0.4;
+/// Part of a usual ticket below which earlier spending on a cold upstream is past.
+const ALL_BUT_GONE: f64 = 0.4;
+
+const FOLLOW_ALARM: u64 = 0;
+const PUMP_ALARM: u64 = 1;
+
+/// One upstream as this balancer knows it. Answer times are per usual ticket.
+#[derive(Default)]
+struct Upstream {
+    id: Rc<str>,
+    hash: u64,
+    zone: u64,
+    cell: u64,
+    ready: bool,
+    weight: Mean,
+    launched: Micros,
+    in_flight: usize,
+    work_in_flight: f64,
+    answers: Mean,
+    lasting_answers: Mean,
+    shortest: Option<f64>,
+    served: Fading,
+    succeeded: Fading,
+    failed: Fading,
+    unanswered_since: Option<Micros>,
+    /// Turned a ticket away: nothing more until one of its own has likely left.
+    full_until: Micros,
+    suspected: bool,
+    trial_at: Micros,
+    failed_trials: u32,
+    utilisation: Option<f64>,
+    queue: Option<f64>,
+    reported: Micros,
+    cold_spent: Fading,
+}
+
+/// What the mechanism saw when it drew: candidates by falling priority, and which was drawn.
+struct Scene {
+    rows: Vec<[f64; FEATURES]>,
+    drawn: usize,
+    chance: f64,
+}
+
+struct Dispatch {
+    upstream: usize,
+    sent: Micros,
+    out: bool,
+    may_have_run: bool,
+    scene: Option<Scene>,
+}
+
+struct Ticket {
+    id: Rc<str>,
+    use_case: usize,
+    key: Option<u64>,
+    promised: Micros,
+    hard_stop: Micros,
+    /// Work against a usual ticket of its use case.
+    work: f64,
+    within_share: bool,
+    streaming: bool,
+    dispatches: Vec<Dispatch>,
+}
+
+/// What is known of one use case.
+#[derive(Clone, Default)]
+struct Pace {
+    present: Mean,
+    lasting: Mean,
+    hint: Mean,
+}
+
+/// What is seen of the fleet and of the traffic as a whole.
+#[derive(Default)]
+struct Seen {
+    answers: Mean,
+    stretch: Mean,
+    payoffs: Mean,
+    succeeded: Fading,
+    failed: Fading,
+    arrivals: Fading,
+    further: Fading,
+    further_succeeded: Fading,
+    /// Time that succeeded dispatches were in flight.
+    in_flight: Fading,
+}
+
+/// One balancer.
+pub struct Balancer<H: Host> {
+    host: H,
+    terms: Terms,
+    chance: WyRand,
+    upstreams: Vec<Upstream>,
+    by_id: HashMap<Rc<str>, usize>,
+    tickets: HashMap<Rc<str>, Ticket>,
+    held: Vec<Ticket>,
+    alarms: HashMap<u64, Rc<str>>,
+    last_alarm: u64,
+    pump_set: bool,
+    failed_follows: u32,
+    weights: [f64; FEATURES],
+    samples: Vec<(Scene, f64)>,
+    updated: Micros,
+    paces: Vec<Pace>,
+    seen: Seen,
+    admitted: Vec<Fading>,
+}
+
+impl<H: Host> Balancer<H> {
+    pub fn start(host: H, seed: u64, terms: Terms, now: Micros) -> Self {
+        let mut balancer = Self {
+            host,
+            chance: WyRand::new_seed(seed),
+            upstreams: Vec::new(),
+            by_id: HashMap::new(),
+            tickets: HashMap::new(),
+            held: Vec::new(),
+            alarms: HashMap::new(),
+            last_alarm: PUMP_ALARM,
+            pump_set: false,
+            failed_follows: 0,
+            weights: START,
+            samples: Vec::new(),
+            updated: now,
+            paces: vec![Pace::default(); terms.use_cases.len()],
+            seen: Seen::default(),
+            admitted: vec![Fading::default(); terms.allowances.len()],
+            terms,
+        };
+        if balancer.terms.ask_within.is_some() {
+            balancer.host.follow_list();
+        }
+        balancer
+    }
+
+    // ---- 1. the list and drains ----
+
+    /// The list failed or broke: the previous one stands, and we ask anew after a growing, scattered wait,
+    /// which neither crowds the roster nor comes near the span after which we count as told.
+    pub fn list_failed(&mut self) {
+        if let Some(within) = self.terms.ask_within {
+            let wait = (within / 64) << self.failed_follows.min(4);
+            self.failed_follows += 1;
+            let scattered = wait as f64 * (0.5 + self.chance.generate::<f64>() / 2.0);
+            self.host.wake(scattered as Micros, FOLLOW_ALARM);
+        }
+    }
+
+    /// What a complete list does not name is gone.
+    pub fn list_begins(&mut self, complete: bool) {
+        self.upstreams.iter_mut().for_each(|upstream| upstream.ready &= !complete);
+    }
+
+    pub fn list_entry(&mut self, id: &str, zone: u64, cell: u64, ready: bool, weight: f64, launched: Micros) {
+        let new = self.upstreams.len();
+        let at = *self.by_id.entry(Rc::from(id)).or_insert(new);
+        if at == new {
+            let hash = id.bytes().fold(0, |hash, byte| mixed(hash, u64::from(byte)));
+            self.upstreams.push(Upstream { id: Rc::from(id), hash, ..Upstream::default() });
+        }
+        let upstream = &mut self.upstreams[at];
+        (upstream.zone, upstream.cell, upstream.ready) = (zone, cell, ready);
+        if launched > upstream.launched && upstream.launched > 0 {
+            // A restarted process has nothing to do with what was held against the old one.
+            upstream.answers = Mean::default();
+            upstream.failed = Fading::default();
+            upstream.unanswered_since = None;
+        }
+        upstream.launched = launched;
+        // Weights may be live readings, late and alike at all balancers: following each would make them
+        // swing together, so older ones count on.
+        upstream.weight.total.sum = upstream.weight.total.sum * 0.9 + weight;
+        upstream.weight.weight.sum = upstream.weight.weight.sum * 0.9 + 1.0;
+    }
+
+    pub fn list_ends(&mut self, now: Micros) {
+        self.failed_follows = 0;
+        self.pump(now);
+    }
+
+    // ---- a ticket's way ----
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn ticket_arrived(
+        &mut self,
+        now: Micros,
+        id: &str,
+        use_case: usize,
+        account: usize,
+        key: Option<u64>,
+        hard_stop: Micros,
+        hint: Option<Micros>,
+    ) {
+        let Some(promised) = self.terms.use_cases.get(use_case).map(|c| now + c.promised_time) else {
+            return self.host.dismiss(id, 0);
+        };
+        self.seen.arrivals.add(now, LASTING, 1.0);
+        let work = hint.map_or(1.0, |hint| {
+            let usual = &mut self.paces[use_case].hint;
+            usual.add(now, LASTING, hint as f64, 1.0);
+            (hint as f64 / usual.read().unwrap_or(1.0).max(1.0)).clamp(0.1, 10.0)
+        });
+        let within_share = self.within_share(now, account);
+        let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
+        let ticket =
+            Ticket { id, use_case, key, promised, hard_stop, work, within_share, streaming, dispatches };
+        let pressed = !self.held.is_empty() || self.live_in_flight() >= self.limit(now) * PRESSED;
+        if pressed && !within_share {
+            self.give_up(now, ticket);
+        } else {
+            self.admit(now, ticket);
+        }
+    }
+
+    /// The ordinary path of a ticket, from what is known of the upstreams to the dispatch.
+    fn place(&mut self, now: Micros, ticket: &mut Ticket) -> bool {
+        let mut open: Vec<usize> = (0..self.upstreams.len())
+            .filter(|&u| self.permitted(now, ticket, u) && self.upstreams[u].full_until <= now)
+            .collect();
+        let met = |u: &usize| ticket.dispatches.iter().any(|d| d.upstream == *u);
+        if !open.iter().all(met) {
+            open.retain(|u| !met(u));
+        }
+        let (ready, trial) = self.suspect(now, ticket, open);
+        if let Some(u) = trial {
+            return self.send(now, ticket, u, None);
+        }
+        if ready.is_empty() {
+            return false;
+        }
+        let rows = self.features(now, ticket, &ready);
+        let score = |(row, u)| (softplus(dot(&self.weights, &row)), row, u);
+        let mut scored: Vec<_> = rows.into_iter().zip(ready).map(score).collect();
+        scored.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let priorities: Vec<f64> = scored.iter().map(|s| s.0).collect();
+        let chances = project(&priorities, top(scored.len(), self.terms.balancers));
+        let mut left = self.chance.generate::<f64>();
+        let beyond = |chance: &f64| {
+            left -= chance;
+            left < 0.0
+        };
+        let drawn = chances.iter().position(beyond).unwrap_or(0);
+        let (chance, u) = (chances[drawn], scored[drawn].2);
+        let rows = scored.into_iter().map(|s| s.1).collect();
+        self.send(now, ticket, u, Some(Scene { rows, drawn, chance }))
+    }
+
+    /// What the mechanism knows of each candidate. Ratios to the candidates' mean make one weight vector
+    /// serve upstreams of any speed and fleets of any size; what was never heard is the others' mean, 0.
+    fn features(&self, now: Micros, ticket: &Ticket, ready: &[usize]) -> Vec<[f64; FEATURES]> {
+        let ups = &self.upstreams;
+        let gather = |known: &dyn Fn(&Upstream) -> Option<f64>| -> Vec<f64> {
+            relative(&ready.iter().map(|&u| known(&ups[u])).collect::<Vec<_>>())
+        };
+        let latency = gather(&|up| up.latency(now));
+        let listed = self.terms.weights_listed;
+        let capacity = gather(&|up| match listed {
+            true => up.weight.read(),
+            // Served rate per own request in flight is the inverse of the answer time.
+            false => up.lasting_answers.read().map(f64::recip),
+        });
+        // An old report speaks of a load that is gone.
+        let fresh = |u: usize| (-(now.saturating_sub(ups[u].reported) as f64) / SECOND).exp();
+        let queue = gather(&|up| up.queue.map(|queue| queue + 1.0));
+        let busy = gather(&|up| up.utilisation.map(|busy| busy + 0.1));
+        let in_flight = gather(&|up| Some(0.5 + up.work_in_flight));
+        // All balancers rank a key's upstreams alike without speaking: who ranks first has likely met it.
+        let mut met = vec![0.0; ready.len()];
+        if let (Some(key), true) = (ticket.key, self.terms.keys_kept) {
+            let mut ranked: Vec<usize> = (0..ready.len()).collect();
+            ranked.sort_by_key(|&place| std::cmp::Reverse(mixed(key, ups[ready[place]].hash)));
+            let ranks = ranked.iter().zip(1..=KEY_RANKS);
+            ranks.for_each(|(&place, rank)| met[place] = 1.0 / f64::from(rank));
+        }
+        let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
+        let row = |(i, &u): (usize, &usize)| {
+            let (busy, queue) = (busy[i] * fresh(u), queue[i] * fresh(u));
+            [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), met[i], queue]
+        };
+        ready.iter().enumerate().map(row).collect()
+    }
+
+    /// The one place that every dispatch passes.
+    fn send(&mut self, now: Micros, ticket: &mut Ticket, u: usize, scene: Option<Scene>) -> bool {
+        if !self.permitted(now, ticket, u) {
+            return false;
+        }
+        if self.is_cold(now, u) {
+            self.upstreams[u].cold_spent.add(now, self.terms.warming.span as f64, ticket.work);
+        }
+        let upstream = &mut self.upstreams[u];
+        upstream.in_flight += 1;
+        upstream.work_in_flight += ticket.work;
+        upstream.unanswered_since.get_or_insert(now);
+        if !ticket.dispatches.is_empty() {
+            self.seen.further.add(now, LASTING, 1.0);
+        }
+        ticket.dispatches.push(Dispatch { upstream: u, sent: now, out: true, may_have_run: true, scene });
+        self.host.dispatch(&ticket.id, &upstream.id, ticket.hard_stop);
+        if let Some(patience) = self.patience(now, ticket) {
+            self.last_alarm += 1;
+            self.alarms.insert(self.last_alarm, Rc::clone(&ticket.id));
+            self.host.wake(patience, self.last_alarm);
+        }
+        true
+    }
+
+    /// The four rules for one more dispatch of a ticket to an upstream.
+    fn permitted(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
+        let upstream = &self.upstreams[u];
+        let open = now < ticket.hard_stop
+            && !ticket.streaming
+            && ticket.dispatches.len() < self.terms.most_dispatches
+            && (self.terms.second_copies || ticket.dispatches.iter().all(|d| !d.out));
+        let mut ran = ticket.dispatches.iter().filter(|d| d.may_have_run);
+        let again = match self.terms.use_cases[ticket.use_case].effect {
+            Effect::Redoable => true,
+            Effect::Irreversible => ran.next().is_none(),
+            Effect::Labelled { group, window } => ran.all(|d| {
+                let first = &self.upstreams[d.upstream];
+                let same = match group {
+                    Group::All => true,
+                    Group::Zone => first.zone == upstream.zone,
+                    Group::Cell => first.cell == upstream.cell,
+                };
+                same && now < d.sent + window
+            }),
+        };
+        open && again && upstream.ready && (!self.is_cold(now, u) || self.cold_room(now, u, ticket.work))
+    }
+
+    pub fn dispatch_ended(
+        &mut self,
+        now: Micros,
+        id: &str,
+        n: usize,
+        settled: bool,
+        how: Ending,
+        took: Micros,
+    ) {
+        let Some(mut ticket) = self.tickets.remove(id) else {
+            return;
+        };
+        self.ended(now, &mut ticket, n, how, took);
+        if settled {
+            self.close(now, ticket, n);
+        } else if ticket.dispatches.iter().any(|d| d.out) {
+            self.tickets.insert(Rc::clone(&ticket.id), ticket);
+        } else {
+            let unseen = ticket.dispatches.iter().all(|d| !d.may_have_run);
+            let redoable = self.terms.use_cases[ticket.use_case].effect == Effect::Redoable;
+            let spend = unseen || self.may_spend_more(now);
+            if spend && (unseen || redoable) && ticket.dispatches.len() < self.terms.most_dispatches {
+                self.admit(now, ticket);
+            } else if spend && now < ticket.promised && self.place(now, &mut ticket) {
+                self.tickets.insert(Rc::clone(&ticket.id), ticket);
+            } else {
+                self.give_up(now, ticket);
+            }
+        }
+        self.pump(now);
+    }
+
+    pub fn stream_began(&mut self, id: &str) {
+        self.tickets.entry(Rc::from(id)).and_modify(|ticket| ticket.streaming = true);
+    }
+
+    pub fn client_left(&mut self, now: Micros, id: &str) {
+        self.held.retain(|ticket| *ticket.id != *id);
+        if let Some(ticket) = self.tickets.remove(id) {
+            self.close(now, ticket, 0);
+            self.pump(now);
+        }
+    }
+
+    /// The final answer, as good as the rules allow: a dismissal promises that trying again is harmless.
+    fn give_up(&mut self, now: Micros, ticket: Ticket) {
+        let ran = ticket.dispatches.iter().any(|d| d.may_have_run);
+        let harmless = match self.terms.use_cases[ticket.use_case].effect {
+            Effect::Redoable | Effect::Labelled { group: Group::All, .. } => true,
+            Effect::Labelled { .. } | Effect::Irreversible => !ran,
+        };
+        match harmless {
+            true => self.host.dismiss(&ticket.id, self.terms.longest_come_back),
+            false => self.host.abandon(&ticket.id),
+        }
+        self.close(now, ticket, 0);
+    }
+
+    /// Stops what is still out for a ticket that has its final answer. A dispatch overtaken by a later copy
+    /// counts as silent: its upstream kept the ticket waiting.
+    fn close(&mut self, now: Micros, mut ticket: Ticket, answered: usize) {
+        for number in 0..ticket.dispatches.len() {
+            let dispatch = &ticket.dispatches[number];
+            if dispatch.out {
+                let ending = if number < answered { Ending::Silent } else { Ending::CalledOff };
+                let waited = now.saturating_sub(dispatch.sent);
+                self.call_off(&ticket, number);
+                self.ended(now, &mut ticket, number, ending, waited);
+            }
+        }
+    }
+
+    fn call_off(&mut self, ticket: &Ticket, number: usize) {
+        if self.terms.may_call_off {
+            self.host.call_off(&ticket.id, number);
+        }
+    }
+
+    pub fn alarm_rang(&mut self, now: Micros, alarm: u64) {
+        match alarm {
+            FOLLOW_ALARM => self.host.follow_list(),
+            PUMP_ALARM => {
+                self.pump_set = false;
+                self.pump(now);
+            }
+            _ => {
+                let id = self.alarms.remove(&alarm);
+                if let Some(ticket) = id.and_then(|id| self.tickets.remove(&id)) {
+                    self.patience_ran_out(now, ticket);
+                }
+            }
+        }
+    }
+
+    // ---- 2. the cold allowance ----
+
+    fn is_cold(&self, now: Micros, u: usize) -> bool {
+        let launched = self.upstreams[u].launched;
+        launched > 0 && now < launched + self.terms.warming.warm_after
+    }
+
+    /// Whether a cold upstream's budget has room. Its full capacity is not told; it is taken to be what warm
+    /// upstreams are seen to bear. A lone ticket always passes, or a quiet fleet would never warm.
+    fn cold_room(&self, now: Micros, u: usize, work: f64) -> bool {
+        let warming = &self.terms.warming;
+        let age = now.saturating_sub(self.upstreams[u].launched) as f64 / warming.warm_after as f64;
+        let grown = warming.starts_at + (1.0 - warming.starts_at) * age.min(1.0);
+        let warm = (0..self.upstreams.len()).filter(|&o| self.upstreams[o].ready && !self.is_cold(now, o));
+        let borne: f64 = warm.clone().map(|o| self.upstreams[o].served.read(now, LASTING) / LASTING).sum();
+        let span = warming.span as f64;
+        let budget = COLD_MARGIN * warming.multiple * grown * borne / warm.count().max(1) as f64 * span;
+        let spent = self.upstreams[u].cold_spent.read(now, span);
+        spent < ALL_BUT_GONE || spent + work < budget
+    }
+
+    // ---- 3. suspicion ----
+
+    /// Parts the candidates into those to draw from and one due for a trial. Suspicion is relative to the
+    /// fleet and never takes out more than half: when all seem ill, the cause lies elsewhere.
+    fn suspect(&mut self, now: Micros, ticket: &Ticket, open: Vec<usize>) -> (Vec<usize>, Option<usize>) {
+        // What is out may be of any use case: the slowest one sets how long silence is usual.
+        let expected = (0..self.paces.len()).map(|c| self.expected(c)).fold(0.0, f64::max);
+        let failed = self.seen.failed.read(now, RECENT);
+        let usual = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
+        for upstream in &mut self.upstreams {
+            let silent = upstream.silent_for(now) > SILENT * expected;
+            let failed = upstream.failed.read(now, RECENT);
+            let share = failed / (failed + upstream.succeeded.read(now, RECENT)).max(1e-9);
+            let enough = if upstream.suspected { FAILURES / 3.0 } else { FAILURES };
+            let suspected = silent || (failed > enough && share > FAILING + 2.0 * usual);
+            if suspected && !upstream.suspected {
+                upstream.trial_at = now + (TRIAL_WAIT * expected) as Micros;
+                upstream.failed_trials = 0;
+            }
+            upstream.suspected = suspected;
+        }
+        let (out, ready): (Vec<usize>, Vec<usize>) = open.iter().partition(|&&u| self.upstreams[u].suspected);
+        if out.len() > ready.len() {
+            return (open, None);
+        }
+        let again = self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible;
+        let risked = again && ticket.dispatches.is_empty();
+        let trial = out.into_iter().find(|&u| risked && self.upstreams[u].trial_at <= now);
+        if let Some(u) = trial {
+            let scatter = 1.0 + self.chance.generate::<f64>();
+            let upstream = &mut self.upstreams[u];
+            let wait = TRIAL_WAIT * expected * scatter * f64::from(1 << upstream.failed_trials);
+            upstream.trial_at = now + wait as Micros;
+            upstream.failed_trials = (upstream.failed_trials + 1).min(TRIAL_DOUBLINGS);
+        }
+        (ready, trial)
+    }
+
+    // ---- 4. further dispatches and patience ----
+
+    /// How often follows the share of the recent further dispatches that succeeded.
+    fn may_spend_more(&self, now: Micros) -> bool {
+        let further = self.seen.further.read(now, LASTING);
+        let succeeded = (self.seen.further_succeeded.read(now, LASTING) + 1.0) / (further + 1.0);
+        further < FURTHER_FREE + FURTHER * succeeded * self.seen.arrivals.read(now, LASTING)
+    }
+
+    /// How long to wait for this dispatch alone; nothing where no further one could follow in time.
+    fn patience(&self, now: Micros, ticket: &Ticket) -> Option<Micros> {
+        let expected = self.expected(ticket.use_case);
+        let last = ticket.promised.saturating_sub(now) as f64 - expected;
+        let patience = (PATIENCE * expected * ticket.work.max(1.0)).min(last);
+        let redone = self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible;
+        (redone && patience > expected).then_some(patience as Micros)
+    }
+
+    /// Nothing came from a dispatch for long: a second copy goes elsewhere if that is open to the ticket.
+    fn patience_ran_out(&mut self, now: Micros, mut ticket: Ticket) {
+        if self.may_spend_more(now) && !ticket.streaming {
+            match self.terms.second_copies {
+                true => _ = self.place(now, &mut ticket),
+                false => self.call_off(&ticket, ticket.dispatches.len() - 1),
+            }
+        }
+        self.tickets.insert(Rc::clone(&ticket.id), ticket);
+    }
+
+    // ---- 5. the in-flight limit ----
+
+    /// Tickets out at upstreams that answer; what hangs at a silent one must not choke the rest.
+    fn live_in_flight(&self) -> f64 {
+        let live = self.upstreams.iter().filter(|upstream| !upstream.suspected);
+        live.map(|upstream| upstream.in_flight).sum::<usize>() as f64
+    }
+
+    /// What the served rate would keep in flight, times shortest ÷ present answer time and some room.
+    fn limit(&self, now: Micros) -> f64 {
+        let ready = self.upstreams.iter().filter(|upstream| upstream.ready).count() as f64;
+        let least = (LEAST_EACH * ready / self.terms.balancers.max(1) as f64).max(2.0);
+        let kept = self.seen.in_flight.read(now, RECENT) / RECENT;
+        least.max(STRETCH * kept / self.seen.stretch.read().unwrap_or(1.0).max(1.0))
+    }
+
+    /// The moment after which an answer would likely come too late to be of use.
+    fn last_start(&self, ticket: &Ticket) -> Micros {
+        let needed = TIME_LEFT * self.expected(ticket.use_case);
+        ticket.promised.min(ticket.hard_stop).saturating_sub(needed as Micros)
+    }
+
+    /// Places a ticket, or holds it where it would be sent in time, else dismisses it at once.
+    fn admit(&mut self, now: Micros, mut ticket: Ticket) {
+        let room = self.held.is_empty() && self.live_in_flight() < self.limit(now);
+        if room && self.place(now, &mut ticket) {
+            self.tickets.insert(Rc::clone(&ticket.id), ticket);
+            return;
+        }
+        let rate = self.seen.succeeded.read(now, RECENT) / RECENT;
+        let order = |held: &Ticket| (!held.within_share, held.promised);
+        let place = self.held.partition_point(|held| order(held) <= order(&ticket));
+        if now as f64 + place as f64 / rate.max(1.0 / SECOND) > self.last_start(&ticket) as f64 {
+            return self.give_up(now, ticket);
+        }
+        self.held.insert(place, ticket);
+        self.set_pump();
+    }
+
+    fn set_pump(&mut self) {
+        if !self.pump_set && !self.held.is_empty() {
+            self.pump_set = true;
+            self.host.wake(PUMP_EVERY, PUMP_ALARM);
+        }
+    }
+
+    /// Sends held tickets while there is room, the one whose time runs out first in front, and dismisses
+    /// those that can no longer be answered in time.
+    fn pump(&mut self, now: Micros) {
+        for mut ticket in std::mem::take(&mut self.held) {
+            if self.last_start(&ticket) < now {
+                self.give_up(now, ticket);
+            } else if self.live_in_flight() < self.limit(now) && self.place(now, &mut ticket) {
+                self.tickets.insert(Rc::clone(&ticket.id), ticket);
+            } else {
+                self.held.push(ticket);
+            }
+        }
+        self.set_pump();
+    }
+
+    // ---- 6. account shares ----
+
+    /// Whether a ticket lies within this balancer's part of its account's allowance.
+    fn within_share(&mut self, now: Micros, account: usize) -> bool {
+        let Some(admitted) = self.admitted.get_mut(account) else {
+            return true;
+        };
+        let share = self.terms.allowances[account] / self.terms.balancers.max(1) as f64;
+        let within = admitted.read(now, SECOND) < share.max(1.0);
+        if within {
+            admitted.add(now, SECOND, 1.0);
+        }
+        within
+    }
+
+    // ---- what is seen, and learning ----
+
+    /// The upstream's load as it reports it; alike for all balancers and late.
+    pub fn load_reported(&mut self, now: Micros, id: &str, busy: Option<f64>, queue: Option<f64>) {
+        if let Some(&u) = self.by_id.get(id) {
+            let upstream = &mut self.upstreams[u];
+            upstream.utilisation = busy.filter(|busy| *busy >= 0.0);
+            upstream.queue = queue.filter(|queue| *queue >= 0.0);
+            upstream.reported = now;
+        }
+    }
+
+    /// Answer time expected at present for a usual ticket of the use case.
+    fn expected(&self, use_case: usize) -> f64 {
+        let promised = self.terms.use_cases[use_case].promised_time as f64;
+        self.paces[use_case].present.read().unwrap_or(promised / 4.0)
+    }
+
+    /// Takes in how a dispatch ended.
+    fn ended(&mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros) {
+        let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else {
+            return;
+        };
+        dispatch.out = false;
+        dispatch.may_have_run = !ending.proves_not_run();
+        let upstream = &mut self.upstreams[dispatch.upstream];
+        upstream.release(ticket.work);
+        if ending == Ending::CalledOff || ending == Ending::NeverSent {
+            // A client that left early says nothing of the upstream.
+            if upstream.in_flight == 0 && !upstream.suspected {
+                upstream.unanswered_since = None;
+            }
+            return;
+        }
+        // Use cases are put on one scale by how their usual answer times compare.
+        let pace = &mut self.paces[ticket.use_case];
+        let took = took.max(1) as f64 / ticket.work;
+        let all = self.seen.answers.read().unwrap_or(took);
+        let answer = took * all / pace.lasting.read().unwrap_or(took).max(1.0);
+        if ending != Ending::Silent {
+            upstream.unanswered_since = (upstream.in_flight > 0).then_some(now);
+        }
+        let mut payoff = 0.0;
+        if ending == Ending::Succeeded {
+            if upstream.suspected {
+                upstream.failed.sum *= 0.5;
+                (upstream.trial_at, upstream.failed_trials) = (now, 0);
+            }
+            if number > 0 {
+                self.seen.further_succeeded.add(now, LASTING, 1.0);
+            }
+            upstream.succeeded.add(now, RECENT, 1.0);
+            self.seen.succeeded.add(now, RECENT, 1.0);
+            pace.present.add(now, RECENT, took, ticket.work);
+            pace.lasting.add(now, LASTING, took, ticket.work);
+            self.seen.answers.add(now, LASTING, took, ticket.work);
+            upstream.answers.add(now, RECENT, answer, ticket.work);
+            upstream.lasting_answers.add(now, LASTING, answer, ticket.work);
+            upstream.served.add(now, LASTING, ticket.work);
+            let shortest = upstream.shortest.get_or_insert(answer);
+            *shortest += if answer < *shortest { QUICKER } else { SLOWER } * (answer - *shortest);
+            self.seen.stretch.add(now, RECENT / 2.0, answer / *shortest, ticket.work);
+            self.seen.in_flight.add(now, RECENT, took * ticket.work);
+            payoff = (all / answer).min(BEST_PAYOFF);
+        } else if ending == Ending::TurnedAway {
+            upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
+            self.seen.stretch.add(now, RECENT / 2.0, 2.0 * STRETCH, ticket.work);
+        } else {
+            upstream.failed.add(now, RECENT, 1.0);
+            self.seen.failed.add(now, RECENT, 1.0);
+            // A fast failure must not make an upstream look quick.
+            let as_late = answer.max(FAILURE_LATENCY * all);
+            upstream.answers.add(now, RECENT, as_late, ticket.work);
+            upstream.lasting_answers.add(now, LASTING, as_late, ticket.work);
+        }
+        if let Some(scene) = dispatch.scene.take() {
+            self.samples.push((scene, payoff));
+        }
+        if self.samples.len() >= OUTCOMES_AN_UPDATE || now > self.updated + UPDATE_EVERY {
+            self.update_weights(now);
+        }
+    }
+
+    /// The clipped policy step over the outcomes since the last.
+    fn update_weights(&mut self, now: Micros) {
+        self.updated = now;
+        let samples = std::mem::take(&mut self.samples);
+        for (_, payoff) in &samples {
+            self.seen.payoffs.add(now, LASTING, *payoff, 1.0);
+        }
+        let Some(usual) = self.seen.payoffs.read() else {
+            return;
+        };
+        for _ in 0..EPOCHS {
+            let mut step = [0.0; FEATURES];
+            for (scene, payoff) in &samples {
+                let advantage = payoff - usual;
+                let Some((chance, slope)) = self.slope(scene) else {
+                    continue;
+                };
+                let ratio = chance / scene.chance;
+                if (ratio < 1.0 - CLIP && advantage < 0.0) || (ratio > 1.0 + CLIP && advantage > 0.0) {
+                    continue;
+                }
+                for f in 1..FEATURES {
+                    step[f] += advantage / scene.chance * slope[f];
+                }
+            }
+            for f in 1..FEATURES {
+                let step = STEP * step[f] / OUTCOMES_AN_UPDATE as f64;
+                let moved = self.weights[f] + step + ANCHOR * (START[f] - self.weights[f]);
+                let size =
+                    (moved * START[f].signum()).clamp(FLOOR * START[f].abs(), CEILING * START[f].abs());
+                self.weights[f] = size * START[f].signum();
+            }
+        }
+    }
+
+    /// The drawn candidate's chance under the present weights and its gradient, through softplus,
+    /// normalisation and projection; nothing where it is no longer among the top.
+    fn slope(&self, scene: &Scene) -> Option<(f64, [f64; FEATURES])> {
+        let raw: Vec<f64> = scene.rows.iter().map(|row| dot(&self.weights, row)).collect();
+        let m = top(raw.len(), self.terms.balancers);
+        let in_rest = |place: usize| raw.iter().filter(|other| **other > raw[place]).count() >= m;
+        if in_rest(scene.drawn) {
+            return None;
+        }
+        let (mut sum, mut rest_sum) = (0.0, 0.0);
+        let (mut sum_slope, mut own_slope) = ([0.0; FEATURES], [0.0; FEATURES]);
+        for (place, row) in scene.rows.iter().enumerate() {
+            let (o, bend) = (softplus(raw[place]), 1.0 / (1.0 + (-raw[place]).exp()));
+            let spread = if in_rest(place) { 1.0 / m as f64 } else { 0.0 };
+            let own = if place == scene.drawn { 1.0 } else { spread };
+            sum += o;
+            rest_sum += own * o;
+            for f in 0..FEATURES {
+                sum_slope[f] += bend * row[f];
+                own_slope[f] += own * bend * row[f];
+            }
+        }
+        let chance = rest_sum / sum;
+        let slope = std::array::from_fn(|f| (own_slope[f] - chance * sum_slope[f]) / sum);
+        Some((chance, slope))
+    }
+}
+
+impl Upstream {
+    fn release(&mut self, work: f64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let left = (self.work_in_flight - work).max(0.0);
+        self.work_in_flight = if self.in_flight == 0 { 0.0 } else { left };
+    }
+
+    fn silent_for(&self, now: Micros) -> f64 {
+        self.unanswered_since.map_or(0.0, |since| now.saturating_sub(since) as f64)
+    }
+
+    /// Smoothed answer time, or how long it has been silent if that is more: a hung upstream must not
+    /// look idle.
+    fn latency(&self, now: Micros) -> Option<f64> {
+        self.answers.read().map(|answers| answers.max(self.silent_for(now)))
+    }
+}
+
+/// How many of the ready may be drawn: together the balancers cover the fleet twice.
+fn top(ready: usize, balancers: usize) -> usize {
+    (2 * ready).div_ceil(balancers.max(1)).max(2).min(ready)
+}
+
+fn softplus(x: f64) -> f64 {
+    if x > 30.0 { x } else { x.exp().ln_1p() }
+}
+
+fn dot(weights: &[f64; FEATURES], row: &[f64; FEATURES]) -> f64 {
+    weights.iter().zip(row).map(|(w, s)| w * s).sum()
+}
+
+/// Euclidean projection of falling priorities onto the chances of the first m (eq. 4 of the paper).
+fn project(priorities: &[f64], m: usize) -> Vec<f64> {
+    let sum: f64 = priorities.iter().sum();
+    let kept: f64 = priorities.iter().take(m).sum();
+    let share = (1.0 - kept / sum) / m as f64;
+    let chance = |(place, o): (usize, &f64)| if place < m { o / sum + share } else { 0.0 };
+    priorities.iter().enumerate().map(chance).collect()
+}
+
+/// Each value as the bounded logarithm of its ratio to the mean; what is not known counts as the mean.
+fn relative(values: &[Option<f64>]) -> Vec<f64> {
+    let known = values.iter().flatten().count().max(1) as f64;
+    let mean = values.iter().flatten().sum::<f64>() / known;
+    let log = |value: &Option<f64>| match value {
+        Some(value) if mean > 0.0 => (value / mean).max(1e-3).ln().clamp(-WIDEST, WIDEST),
+        _ => 0.0,
+    };
+    values.iter().map(log).collect()
+}
+
+/// A fixed mixing of two numbers.
+fn mixed(a: u64, b: u64) -> u64 {
+    WyRand::new_seed(a.rotate_left(32) ^ b).generate()
+}
--- /dev/null
+++ b/src/decide/tests.rs
@@ -0,0 +1,272 @@
+//! Each test builds the state it needs and calls one function.
+
+use std::cell::RefCell;
+
+use rstest::rstest;
+
+use super::*;
+use crate::{UseCase, Warming};
+
+const MS: Micros = 1_000;
+const START_AT: Micros = 1_000_000_000;
+
+/// Writes down what it is asked to do.
+#[derive(Clone, Default)]
+struct Diary(Rc<RefCell<Vec<String>>>);
+
+impl Diary {
+    fn count(&self, word: &str) -> usize {
+        self.0.borrow().iter().filter(|act| act.starts_with(word)).count()
+    }
+    fn note(&self, act: String) {
+        self.0.borrow_mut().push(act);
+    }
+}
+
+impl Host for Diary {
+    fn dispatch(&mut self, ticket: &str, upstream: &str, _: Micros) {
+        self.note(format!("dispatch {ticket} {upstream}"));
+    }
+    fn call_off(&mut self, ticket: &str, dispatch: usize) {
+        self.note(format!("call off {ticket} {dispatch}"));
+    }
+    fn dismiss(&mut self, ticket: &str, _: Micros) {
+        self.note(format!("dismiss {ticket}"));
+    }
+    fn abandon(&mut self, ticket: &str) {
+        self.note(format!("abandon {ticket}"));
+    }
+    fn wake(&mut self, after: Micros, _: u64) {
+        self.note(format!("wake {after}"));
+    }
+    fn follow_list(&mut self) {
+        self.note("follow".into());
+    }
+}
+
+const CELL: Effect = Effect::Labelled { group: Group::Cell, window: 2_000 * MS };
+const ALL: Effect = Effect::Labelled { group: Group::All, window: 2_000 * MS };
+
+/// A balancer of two, with so many warm upstreams in two cells.
+fn balancer(effect: Effect, upstreams: usize) -> (Balancer<Diary>, Diary) {
+    let diary = Diary::default();
+    let terms = Terms {
+        balancers: 2,
+        zone: 0,
+        ask_within: Some(8_000 * MS),
+        weights_listed: false,
+        keys_kept: true,
+        may_call_off: true,
+        second_copies: true,
+        most_dispatches: 3,
+        longest_come_back: 0,
+        warming: Warming { starts_at: 0.2, warm_after: 10_000 * MS, multiple: 3.0, span: 2_000 * MS },
+        use_cases: vec![UseCase { promised_time: 400 * MS, effect }],
+        allowances: vec![20.0],
+    };
+    let mut balancer = Balancer::start(diary.clone(), 7, terms, START_AT);
+    for u in 0..upstreams {
+        balancer.list_entry(&format!("u{u}"), 0, u as u64 % 2, true, 1.0, 0);
+    }
+    (balancer, diary)
+}
+
+fn arrive(balancer: &mut Balancer<Diary>, now: Micros, id: &str) {
+    balancer.ticket_arrived(now, id, 0, 0, None, now + 1_000 * MS, None);
+}
+
+fn ticket(upstreams: &[usize], may_have_run: bool) -> Ticket {
+    let sent = |&upstream| Dispatch { upstream, sent: START_AT, out: false, may_have_run, scene: None };
+    Ticket {
+        id: Rc::from("t"),
+        use_case: 0,
+        key: None,
+        promised: START_AT + 400 * MS,
+        hard_stop: START_AT + 5_000 * MS,
+        work: 1.0,
+        within_share: true,
+        streaming: false,
+        dispatches: upstreams.iter().map(sent).collect(),
+    }
+}
+
+#[rstest]
+#[case(&[4.0], 1, &[1.0])]
+#[case(&[1.0, 1.0, 1.0, 1.0], 4, &[0.25, 0.25, 0.25, 0.25])]
+#[case(&[5.0, 3.0, 2.0], 2, &[0.6, 0.4, 0.0])]
+fn projection_keeps_the_first(#[case] priorities: &[f64], #[case] m: usize, #[case] expected: &[f64]) {
+    for (chance, expected) in project(priorities, m).iter().zip(expected) {
+        assert!((chance - expected).abs() < 1e-9);
+    }
+}
+
+#[rstest]
+#[case(1, 4, 1)]
+#[case(12, 4, 6)]
+#[case(3, 9, 2)]
+#[case(5, 1, 5)]
+fn top_covers_the_fleet_twice(#[case] ready: usize, #[case] balancers: usize, #[case] m: usize) {
+    assert_eq!(top(ready, balancers), m);
+}
+
+#[rstest]
+#[case(0)]
+#[case(1)]
+fn slope_is_the_gradient_of_the_chance(#[case] drawn: usize) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 0);
+    balancer.terms.balancers = 3;
+    let rows: Vec<_> = (0..3).map(|i| std::array::from_fn(|f| 1.0 / (1 + f + 2 * i) as f64)).collect();
+    balancer.weights = std::array::from_fn(|f| 1.0 + f as f64 / 10.0);
+    let scene = Scene { rows, drawn, chance: 0.5 };
+    let (chance, slope) = balancer.slope(&scene).unwrap();
+    for (f, slope) in slope.iter().enumerate() {
+        balancer.weights[f] += 1e-6;
+        let (moved, _) = balancer.slope(&scene).unwrap();
+        assert!(((moved - chance) / 1e-6 - slope).abs() < 1e-5);
+        balancer.weights[f] -= 1e-6;
+    }
+}
+
+#[rstest]
+#[case(1e9)]
+#[case(-1e9)]
+fn odd_payoffs_never_change_a_sign(#[case] payoff: f64) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 0);
+    let rows = vec![[1.0; FEATURES], [0.5; FEATURES]];
+    balancer.seen.payoffs.add(START_AT, LASTING, 0.0, 1e12);
+    balancer.samples.push((Scene { rows, drawn: 0, chance: 0.5 }, payoff));
+    balancer.update_weights(START_AT);
+    for (weight, start) in balancer.weights.iter().zip(START) {
+        assert!(weight * start >= FLOOR * start * start - 1e-9);
+    }
+}
+
+#[rstest]
+fn an_unheard_upstream_counts_as_the_mean() {
+    assert_eq!(relative(&[Some(2.0), None, Some(2.0)]), [0.0, 0.0, 0.0]);
+}
+
+#[rstest]
+#[case::redoable(Effect::Redoable, true, true)]
+#[case::irreversible(Effect::Irreversible, true, false)]
+#[case::irreversible_unseen(Effect::Irreversible, false, true)]
+#[case::labelled_cell(CELL, true, false)]
+#[case::labelled_unseen(CELL, false, true)]
+#[case::labelled_all(ALL, true, true)]
+fn dismissed_only_where_harmless(#[case] effect: Effect, #[case] ran: bool, #[case] dismissed: bool) {
+    let (mut balancer, diary) = balancer(effect, 2);
+    balancer.give_up(START_AT, ticket(&[0], ran));
+    assert_eq!((diary.count("dismiss"), diary.count("abandon")), if dismissed { (1, 0) } else { (0, 1) });
+}
+
+#[rstest]
+#[case::other_cell(CELL, &[0], 1, 100, false)]
+#[case::same_cell(CELL, &[0], 2, 100, true)]
+#[case::window_over(CELL, &[0], 2, 2_000, false)]
+#[case::cells_apart(CELL, &[0, 1], 2, 100, false)]
+#[case::irreversible(Effect::Irreversible, &[0], 1, 100, false)]
+#[case::redoable(Effect::Redoable, &[0], 1, 100, true)]
+#[case::used_up(Effect::Redoable, &[0, 1, 2], 3, 100, false)]
+#[case::too_late(Effect::Redoable, &[0], 1, 5_000, false)]
+fn no_effect_twice(
+    #[case] effect: Effect,
+    #[case] met: &[usize],
+    #[case] next: usize,
+    #[case] after: Micros,
+    #[case] open: bool,
+) {
+    let (balancer, _) = balancer(effect, 4);
+    assert_eq!(balancer.permitted(START_AT + after * MS, &ticket(met, true), next), open);
+}
+
+#[rstest]
+#[case::told(false, false)]
+#[case::absent(true, true)]
+fn nothing_goes_to_what_drains_or_is_gone(#[case] complete: bool, #[case] ready: bool) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 2);
+    balancer.list_begins(complete);
+    balancer.list_entry(if complete { "u0" } else { "u1" }, 0, 0, ready, 1.0, 0);
+    assert!(!balancer.permitted(START_AT, &ticket(&[], false), 1));
+    assert!(balancer.permitted(START_AT, &ticket(&[], false), 0));
+}
+
+#[rstest]
+fn a_cold_upstream_gets_little_even_when_alone() {
+    let (mut balancer, diary) = balancer(Effect::Redoable, 0);
+    balancer.list_entry("cold", 0, 0, true, 1.0, START_AT);
+    for n in 0..20 {
+        balancer.place(START_AT + n * MS, &mut ticket(&[], false));
+    }
+    assert_eq!(diary.count("dispatch"), 1);
+}
+
+#[rstest]
+#[case::nobody_ready(0, 1)]
+#[case::somebody(1, 0)]
+fn a_ticket_is_never_left_without_answer(#[case] upstreams: usize, #[case] dismissed: usize) {
+    let (mut balancer, diary) = balancer(Effect::Redoable, upstreams);
+    arrive(&mut balancer, START_AT, "a");
+    balancer.alarm_rang(START_AT + 400 * MS, PUMP_ALARM);
+    assert_eq!(diary.count("dismiss"), dismissed);
+}
+
+#[rstest]
+#[case::error(Ending::Failed)]
+#[case::refused_route(Ending::Unreachable)]
+fn a_fast_failure_looks_slow(#[case] ending: Ending) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 1);
+    balancer.seen.answers.add(START_AT, LASTING, 100_000.0, 1.0);
+    let mut sent = ticket(&[0], true);
+    sent.dispatches[0].out = true;
+    balancer.ended(START_AT, &mut sent, 0, ending, 10);
+    assert!(balancer.upstreams[0].latency(START_AT).unwrap() > 100_000.0);
+}
+
+#[rstest]
+#[case::one_silent(&[0], 3)]
+#[case::all_silent(&[0, 1, 2, 3], 4)]
+fn silence_takes_out_a_few_but_never_the_fleet(#[case] silent: &[usize], #[case] left: usize) {
+    let (mut balancer, _) = balancer(Effect::Irreversible, 4);
+    silent.iter().for_each(|&u| balancer.upstreams[u].unanswered_since = Some(START_AT));
+    let (ready, trial) = balancer.suspect(START_AT + 500 * MS, &ticket(&[], false), vec![0, 1, 2, 3]);
+    assert_eq!((ready.len(), trial), (left, None));
+}
+
+#[rstest]
+fn a_suspect_comes_back_by_a_trial() {
+    let (mut balancer, _) = balancer(Effect::Redoable, 4);
+    balancer.upstreams[2].unanswered_since = Some(START_AT);
+    balancer.suspect(START_AT + 500 * MS, &ticket(&[], false), vec![0, 1, 2, 3]);
+    let (_, trial) = balancer.suspect(START_AT + 900 * MS, &ticket(&[], false), vec![0, 1, 2, 3]);
+    assert_eq!(trial, Some(2));
+}
+
+#[rstest]
+#[case::quick(1.0, 20.0 * STRETCH)]
+#[case::slowed(5.0, 4.0 * STRETCH)]
+fn the_limit_follows_shortest_over_present(#[case] stretch: f64, #[case] limit: f64) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 4);
+    balancer.seen.in_flight.add(START_AT, RECENT, 20.0 * RECENT);
+    balancer.seen.stretch.add(START_AT, RECENT, stretch, 1.0);
+    assert!((balancer.limit(START_AT) - limit).abs() < 1e-6);
+}
+
+#[rstest]
+fn under_pressure_a_share_is_kept_to() {
+    let (mut balancer, diary) = balancer(Effect::Redoable, 2);
+    balancer.upstreams[0].in_flight = 9;
+    balancer.admitted[0].add(START_AT, SECOND, 30.0);
+    arrive(&mut balancer, START_AT, "beyond");
+    assert_eq!(diary.count("dismiss beyond"), 1);
+}
+
+#[rstest]
+fn the_list_is_asked_for_again_in_time_and_without_crowding() {
+    let (mut balancer, diary) = balancer(Effect::Redoable, 0);
+    for _ in 0..9 {
+        balancer.list_failed();
+    }
+    let waits = diary.0.borrow();
+    let waits: Vec<Micros> = waits.iter().filter_map(|act| act.strip_prefix("wake ")?.parse().ok()).collect();
+    assert!(waits[0] < waits[4] && waits.iter().all(|&wait| wait > 50 * MS && wait <= 2_000 * MS));
+}
--- /dev/null
+++ b/src/fading.rs
@@ -0,0 +1,37 @@
+//! What is measured over time: sums that fade.
+
+use crate::Micros;
+
+/// A sum that fades with time and is brought up to date when read.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Fading {
+    pub(crate) sum: f64,
+    at: Micros,
+}
+
+impl Fading {
+    pub(crate) fn read(&self, now: Micros, horizon: f64) -> f64 {
+        self.sum * (-(now.saturating_sub(self.at) as f64) / horizon).exp()
+    }
+    pub(crate) fn add(&mut self, now: Micros, horizon: f64, amount: f64) {
+        self.sum = self.read(now, horizon) + amount;
+        self.at = now;
+    }
+}
+
+/// A fading mean. Both sums fade alike, so it needs no time to be read.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Mean {
+    pub(crate) total: Fading,
+    pub(crate) weight: Fading,
+}
+
+impl Mean {
+    pub(crate) fn add(&mut self, now: Micros, horizon: f64, value: f64, weight: f64) {
+        self.total.add(now, horizon, value * weight);
+        self.weight.add(now, horizon, weight);
+    }
+    pub(crate) fn read(&self) -> Option<f64> {
+        (self.weight.sum > 0.0).then(|| self.total.sum / self.weight.sum)
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,103 @@
+//! Decisions of a load-balancing proxy: [`Balancer`] is told what happens and acts through a [`Host`].
+//! This file holds the words they share and decides nothing.
+
+mod decide;
+mod fading;
+
+pub use decide::Balancer;
+
+/// A moment or a span in whole microseconds.
+pub type Micros = u64;
+
+/// What a balancer may do. Every call takes effect at the moment of the event being answered.
+pub trait Host {
+    /// Sends the ticket to the upstream; the dispatch ends by itself at `expire_at`.
+    fn dispatch(&mut self, ticket: &str, upstream: &str, expire_at: Micros);
+    /// Stops waiting for one dispatch of the ticket, counted from 0.
+    fn call_off(&mut self, ticket: &str, dispatch: usize);
+    /// Final answer: not done, and trying again is harmless after `come_back_after`.
+    fn dismiss(&mut self, ticket: &str, come_back_after: Micros);
+    /// Final answer: not done as far as is known, with no promise.
+    fn abandon(&mut self, ticket: &str);
+    /// Asks for [`Balancer::alarm_rang`] with `alarm` after the given span.
+    fn wake(&mut self, after: Micros, alarm: u64);
+    /// Subscribes to changes of the list of upstreams.
+    fn follow_list(&mut self);
+}
+
+/// How a dispatch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Succeeded,
+    /// The upstream answered with an error.
+    Failed,
+    /// Nothing came in time.
+    Silent,
+    /// The connection broke under way.
+    Broken,
+    /// We stopped waiting.
+    CalledOff,
+    /// Turned away unseen: proven not run.
+    TurnedAway,
+    /// No connection came about: proven not run.
+    Unreachable,
+    /// Never left the balancer: proven not run.
+    NeverSent,
+}
+
+impl Ending {
+    pub fn proves_not_run(self) -> bool {
+        matches!(self, Self::TurnedAway | Self::Unreachable | Self::NeverSent)
+    }
+}
+
+/// Which upstreams drop the repeats of a labelled ticket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// What a second run of a ticket would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Redoable,
+    Labelled { group: Group, window: Micros },
+    Irreversible,
+}
+
+/// One kind of ticket.
+#[derive(Clone, Debug)]
+pub struct UseCase {
+    pub promised_time: Micros,
+    pub effect: Effect,
+}
+
+/// How a fresh upstream warms, and what pushes it over.
+#[derive(Clone, Debug)]
+pub struct Warming {
+    pub starts_at: f64,
+    pub warm_after: Micros,
+    pub multiple: f64,
+    pub span: Micros,
+}
+
+/// What a deployment lays down for one balancer.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub balancers: usize,
+    pub zone: u64,
+    /// Set where the list must be asked for: the longest a balancer may go without asking.
+    pub ask_within: Option<Micros>,
+    pub weights_listed: bool,
+    pub keys_kept: bool,
+    pub may_call_off: bool,
+    pub second_copies: bool,
+    pub most_dispatches: usize,
+    pub longest_come_back: Micros,
+    pub warming: Warming,
+    pub use_cases: Vec<UseCase>,
+    /// Tickets a second that each account may send, over all balancers.
+    pub allowances: Vec<f64>,
+}
