--- a/src/decide.rs
+++ b/src/decide.rs
@@ -74,14 +74,14 @@
 /// The shortest answer time follows quicker answers at the first rate and slower ones at the second, so it
 /// stays near the low end of what the upstream does, and a lasting change is learned.
 const QUICKER: f64 = 0.1;
-const SLOWER: f64 = 0.01;
+const SLOWER: f64 = 0.002;
 /// What is kept in flight, against what the shortest answer times would need: one served, one waiting, and
 /// as much again because the shortest lies below the mean.
-const STRETCH: f64 = 2.5;
+const STRETCH: f64 = 2.0;
 /// In flight for each ready upstream, over all balancers, that is never denied: less would leave cores idle.
 const LEAST_EACH: f64 = 2.0;
-/// Part of the limit from which tickets beyond their account's share are dismissed.
-const PRESSED: f64 = 0.75;
+/// Part of the limit open to tickets beyond their account's share: the rest is kept for those within.
+const BEYOND_SHARE: f64 = 0.4;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
 /// Expected answer times that must be left when a held ticket is sent.
@@ -111,11 +111,11 @@
     lasting_answers: Mean,
     shortest: Option<f64>,
     served: Fading,
+    /// Time that succeeded dispatches were in flight.
+    kept: Fading,
     succeeded: Fading,
     failed: Fading,
     unanswered_since: Option<Micros>,
-    /// Turned a ticket away: nothing more until one of its own has likely left.
-    full_until: Micros,
     suspected: bool,
     trial_at: Micros,
     failed_trials: u32,
@@ -165,15 +165,12 @@
 #[derive(Default)]
 struct Seen {
     answers: Mean,
-    stretch: Mean,
     payoffs: Mean,
     succeeded: Fading,
     failed: Fading,
     arrivals: Fading,
     further: Fading,
     further_succeeded: Fading,
-    /// Time that succeeded dispatches were in flight.
-    in_flight: Fading,
 }
 
 /// One balancer.
@@ -295,18 +292,13 @@
         let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
         let ticket =
             Ticket { id, use_case, key, promised, hard_stop, work, within_share, streaming, dispatches };
-        let pressed = !self.held.is_empty() || self.live_in_flight() >= self.limit(now) * PRESSED;
-        if pressed && !within_share {
-            self.give_up(now, ticket);
-        } else {
-            self.admit(now, ticket);
-        }
+        self.admit(now, ticket);
     }
 
     /// The ordinary path of a ticket, from what is known of the upstreams to the dispatch.
     fn place(&mut self, now: Micros, ticket: &mut Ticket) -> bool {
         let mut open: Vec<usize> = (0..self.upstreams.len())
-            .filter(|&u| self.permitted(now, ticket, u) && self.upstreams[u].full_until <= now)
+            .filter(|&u| self.permitted(now, ticket, u) && self.has_room(now, ticket, u))
             .collect();
         let met = |u: &usize| ticket.dispatches.iter().any(|d| d.upstream == *u);
         if !open.iter().all(met) {
@@ -604,18 +596,19 @@
 
     // ---- 5. the in-flight limit ----
 
-    /// Tickets out at upstreams that answer; what hangs at a silent one must not choke the rest.
-    fn live_in_flight(&self) -> f64 {
-        let live = self.upstreams.iter().filter(|upstream| !upstream.suspected);
-        live.map(|upstream| upstream.in_flight).sum::<usize>() as f64
+    /// What an upstream may hold of this balancer's: what its served rate keeps in flight, times its
+    /// shortest ÷ present answer time, and some room.
+    fn limit(&self, now: Micros, u: usize) -> f64 {
+        let upstream = &self.upstreams[u];
+        let kept = upstream.kept.read(now, RECENT) / RECENT;
+        let present = upstream.answers.read().unwrap_or(0.0);
+        let ratio = upstream.shortest.map_or(1.0, |shortest| (shortest / present).min(1.0));
+        (LEAST_EACH / self.terms.balancers.max(1) as f64).max(STRETCH * kept * ratio)
     }
 
-    /// What the served rate would keep in flight, times shortest ÷ present answer time and some room.
-    fn limit(&self, now: Micros) -> f64 {
-        let ready = self.upstreams.iter().filter(|upstream| upstream.ready).count() as f64;
-        let least = (LEAST_EACH * ready / self.terms.balancers.max(1) as f64).max(2.0);
-        let kept = self.seen.in_flight.read(now, RECENT) / RECENT;
-        least.max(STRETCH * kept / self.seen.stretch.read().unwrap_or(1.0).max(1.0))
+    fn has_room(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
+        let open = if ticket.within_share { 1.0 } else { BEYOND_SHARE };
+        (self.upstreams[u].in_flight as f64) < open * self.limit(now, u)
     }
 
     /// The moment after which an answer would likely come too late to be of use.
@@ -624,17 +617,17 @@
         ticket.promised.min(ticket.hard_stop).saturating_sub(needed as Micros)
     }
 
-    /// Places a ticket, or holds it where it would be sent in time, else dismisses it at once.
+    /// Places a ticket, or holds it where it is within its account's share and would be sent in time, else
+    /// dismisses it at once.
     fn admit(&mut self, now: Micros, mut ticket: Ticket) {
-        let room = self.held.is_empty() && self.live_in_flight() < self.limit(now);
-        if room && self.place(now, &mut ticket) {
+        if self.held.is_empty() && self.place(now, &mut ticket) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
             return;
         }
         let rate = self.seen.succeeded.read(now, RECENT) / RECENT;
-        let order = |held: &Ticket| (!held.within_share, held.promised);
-        let place = self.held.partition_point(|held| order(held) <= order(&ticket));
-        if now as f64 + place as f64 / rate.max(1.0 / SECOND) > self.last_start(&ticket) as f64 {
+        let place = self.held.partition_point(|held| held.promised <= ticket.promised);
+        let sent = now as f64 + place as f64 / rate.max(1.0 / SECOND);
+        if !ticket.within_share || sent > self.last_start(&ticket) as f64 {
             return self.give_up(now, ticket);
         }
         self.held.insert(place, ticket);
@@ -654,7 +647,7 @@
         for mut ticket in std::mem::take(&mut self.held) {
             if self.last_start(&ticket) < now {
                 self.give_up(now, ticket);
-            } else if self.live_in_flight() < self.limit(now) && self.place(now, &mut ticket) {
+            } else if self.place(now, &mut ticket) {
                 self.tickets.insert(Rc::clone(&ticket.id), ticket);
             } else {
                 self.held.push(ticket);
@@ -739,12 +732,11 @@
             upstream.served.add(now, LASTING, ticket.work);
             let shortest = upstream.shortest.get_or_insert(answer);
             *shortest += if answer < *shortest { QUICKER } else { SLOWER } * (answer - *shortest);
-            self.seen.stretch.add(now, RECENT / 2.0, answer / *shortest, ticket.work);
-            self.seen.in_flight.add(now, RECENT, took * ticket.work);
+            upstream.kept.add(now, RECENT, took * ticket.work);
             payoff = (all / answer).min(BEST_PAYOFF);
         } else if ending == Ending::TurnedAway {
-            upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
-            self.seen.stretch.add(now, RECENT / 2.0, 2.0 * STRETCH, ticket.work);
+            let beyond = 2.0 * STRETCH * upstream.shortest.unwrap_or(answer);
+            upstream.answers.add(now, RECENT, beyond, ticket.work);
         } else {
             upstream.failed.add(now, RECENT, 1.0);
             self.seen.failed.add(now, RECENT, 1.0);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -246,18 +246,22 @@
 #[case::slowed(5.0, 4.0 * STRETCH)]
 fn the_limit_follows_shortest_over_present(#[case] stretch: f64, #[case] limit: f64) {
     let (mut balancer, _) = balancer(Effect::Redoable, 4);
-    balancer.seen.in_flight.add(START_AT, RECENT, 20.0 * RECENT);
-    balancer.seen.stretch.add(START_AT, RECENT, stretch, 1.0);
-    assert!((balancer.limit(START_AT) - limit).abs() < 1e-6);
+    balancer.upstreams[0].kept.add(START_AT, RECENT, 20.0 * RECENT);
+    balancer.upstreams[0].shortest = Some(1.0);
+    balancer.upstreams[0].answers.add(START_AT, RECENT, stretch, 1.0);
+    assert!((balancer.limit(START_AT, 0) - limit).abs() < 1e-6);
 }
 
 #[rstest]
-fn under_pressure_a_share_is_kept_to() {
-    let (mut balancer, diary) = balancer(Effect::Redoable, 2);
-    balancer.upstreams[0].in_flight = 9;
-    balancer.admitted[0].add(START_AT, SECOND, 30.0);
-    arrive(&mut balancer, START_AT, "beyond");
-    assert_eq!(diary.count("dismiss beyond"), 1);
+#[case::beyond(30.0, 0)]
+#[case::within(0.0, 1)]
+fn under_pressure_a_share_is_kept_to(#[case] admitted: f64, #[case] sent: usize) {
+    let (mut balancer, diary) = balancer(Effect::Redoable, 1);
+    balancer.upstreams[0].kept.add(START_AT, RECENT, 2.0 * RECENT);
+    balancer.upstreams[0].in_flight = 2;
+    balancer.admitted[0].add(START_AT, SECOND, admitted);
+    arrive(&mut balancer, START_AT, "a");
+    assert_eq!((diary.count("dispatch"), diary.count("dismiss")), (sent, 1 - sent));
 }
 
 #[rstest]
