--- a/src/decide.rs
+++ b/src/decide.rs
@@ -601,14 +601,15 @@
     fn limit(&self, now: Micros, u: usize) -> f64 {
         let upstream = &self.upstreams[u];
         let kept = upstream.kept.read(now, RECENT) / RECENT;
-        let present = upstream.answers.read().unwrap_or(0.0);
+        let present = upstream.latency(now).unwrap_or(0.0);
         let ratio = upstream.shortest.map_or(1.0, |shortest| (shortest / present).min(1.0));
         (LEAST_EACH / self.terms.balancers.max(1) as f64).max(STRETCH * kept * ratio)
     }
 
     fn has_room(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
         let open = if ticket.within_share { 1.0 } else { BEYOND_SHARE };
-        (self.upstreams[u].in_flight as f64) < open * self.limit(now, u)
+        let held = self.upstreams[u].in_flight as f64;
+        held == 0.0 || held + 0.5 < open * self.limit(now, u)
     }
 
     /// The moment after which an answer would likely come too late to be of use.
