--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,16 +1,13 @@
 //! Every decision of the balancer. [`Balancer::start`] takes the [`Host`] it acts through (`lib.rs`); then
-//! one method is called for each thing that happens, with the time, and acts by calling the host.
-//!
-//! The ordinary path is `place`: features, priorities, projection, draw (see `docs/design.md`). Beside it
-//! stand six mechanisms:
+//! one method is called for each thing that happens, with the time, and acts by calling the host. The
+//! ordinary path is `place` (see `docs/design.md`); every dispatch passes `send`, where `permitted` keeps the
+//! rules. Beside the path stand six mechanisms:
 //! 1. following the list and drains (`list_*`);
 //! 2. the cold allowance (`cold_room`);
 //! 3. suspicion of silent or failing upstreams, and trials for their return (`suspect`);
 //! 4. further dispatches and patience (`may_spend_more`, `patience_ran_out`);
 //! 5. the in-flight limit, and holding or dismissing beyond it (`admit`, `pump`);
 //! 6. account shares under pressure (`within_share`).
-//!
-//! Every dispatch passes `send`, and there the rules are kept by `permitted`.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -31,10 +28,10 @@
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents; own
 /// in-flight is the freshest sign of load and weighs most.
 const START: [f64; FEATURES] = [-2.0, -1.0, -0.3, -3.0, 1.0, 0.5, 3.0, -0.3];
-/// A weight stays between these parts of its start value, so that none changes sign, vanishes or runs off.
-const FLOOR: f64 = 0.25;
-const CEILING: f64 = 2.0;
-/// Ratios enter as logarithms, bounded so that no single reading decides alone.
+/// A weight keeps this part of its start value and grows no further than its inverse allows: none changes
+/// sign, vanishes or runs off.
+const FLOOR: f64 = 0.4;
+/// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
 const WIDEST: f64 = 3.0;
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: u8 = 3;
@@ -46,8 +43,6 @@
 const ANCHOR: f64 = 0.02;
 const OUTCOMES_AN_UPDATE: usize = 256;
 const UPDATE_EVERY: Micros = 2_000_000;
-/// Payoffs are shares of the usual; above this a lucky small ticket says nothing more.
-const BEST_PAYOFF: f64 = 3.0;
 
 /// Horizons of what must follow the present, and of what describes a machine.
 const RECENT: f64 = 2.0 * SECOND;
@@ -80,10 +75,11 @@
 const STRETCH: f64 = 2.0;
 /// In flight for each ready upstream, over all balancers, that is never denied: less would leave cores idle.
 const LEAST_EACH: f64 = 2.0;
-/// Part of the limit open to tickets beyond their account's share: the rest is kept for those within.
-const BEYOND_SHARE: f64 = 0.4;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
+/// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
+/// good, make every answer late and serve no more.
+const HELD_PART: f64 = 0.15;
 /// Expected answer times that must be left when a held ticket is sent.
 const TIME_LEFT: f64 = 2.0;
 
@@ -116,6 +112,8 @@
     succeeded: Fading,
     failed: Fading,
     unanswered_since: Option<Micros>,
+    /// Turned a ticket away: nothing more until one has likely left, or refusals would come in storms.
+    full_until: Micros,
     suspected: bool,
     trial_at: Micros,
     failed_trials: u32,
@@ -298,7 +296,7 @@
     /// The ordinary path of a ticket, from what is known of the upstreams to the dispatch.
     fn place(&mut self, now: Micros, ticket: &mut Ticket) -> bool {
         let mut open: Vec<usize> = (0..self.upstreams.len())
-            .filter(|&u| self.permitted(now, ticket, u) && self.has_room(now, ticket, u))
+            .filter(|&u| self.permitted(now, ticket, u) && self.has_room(now, u))
             .collect();
         let met = |u: &usize| ticket.dispatches.iter().any(|d| d.upstream == *u);
         if !open.iter().all(met) {
@@ -431,14 +429,12 @@
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
         } else {
             let unseen = ticket.dispatches.iter().all(|d| !d.may_have_run);
-            let redoable = self.terms.use_cases[ticket.use_case].effect == Effect::Redoable;
-            let spend = unseen || self.may_spend_more(now);
-            if spend && (unseen || redoable) && ticket.dispatches.len() < self.terms.most_dispatches {
-                self.admit(now, ticket);
-            } else if spend && now < ticket.promised && self.place(now, &mut ticket) {
-                self.tickets.insert(Rc::clone(&ticket.id), ticket);
-            } else {
-                self.give_up(now, ticket);
+            let again = unseen
+                || self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible
+                    && self.may_spend_more(now);
+            match again && ticket.dispatches.len() < self.terms.most_dispatches {
+                true => self.admit(now, ticket),
+                false => self.give_up(now, ticket),
             }
         }
         self.pump(now);
@@ -606,29 +602,41 @@
         (LEAST_EACH / self.terms.balancers.max(1) as f64).max(STRETCH * kept * ratio)
     }
 
-    fn has_room(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
-        let open = if ticket.within_share { 1.0 } else { BEYOND_SHARE };
-        let held = self.upstreams[u].in_flight as f64;
-        held == 0.0 || held + 0.5 < open * self.limit(now, u)
+    fn has_room(&self, now: Micros, u: usize) -> bool {
+        let up = &self.upstreams[u];
+        up.full_until <= now && (up.in_flight == 0 || up.in_flight as f64 + 0.5 < self.limit(now, u))
+    }
+
+    /// Whether all limits together leave room, with their root for chance: where balancers are many, each
+    /// one's part of an upstream is less than a ticket, and one each would be too much.
+    fn pool_has_room(&self, now: Micros) -> bool {
+        let (mut held, mut limit) = (0.0, 0.0);
+        for (u, upstream) in self.upstreams.iter().enumerate().filter(|(_, up)| up.ready && !up.suspected) {
+            held += upstream.in_flight as f64;
+            limit += self.limit(now, u);
+        }
+        held < f64::max(limit + limit.sqrt(), 2.0)
     }
 
     /// The moment after which an answer would likely come too late to be of use.
     fn last_start(&self, ticket: &Ticket) -> Micros {
-        let needed = TIME_LEFT * self.expected(ticket.use_case);
-        ticket.promised.min(ticket.hard_stop).saturating_sub(needed as Micros)
+        let needed = TIME_LEFT * self.expected(ticket.use_case) * ticket.work.max(1.0);
+        ticket.promised.min(ticket.hard_stop.saturating_sub(PUMP_EVERY)).saturating_sub(needed as Micros)
     }
 
     /// Places a ticket, or holds it where it is within its account's share and would be sent in time, else
     /// dismisses it at once.
     fn admit(&mut self, now: Micros, mut ticket: Ticket) {
-        if self.held.is_empty() && self.place(now, &mut ticket) {
+        if self.held.is_empty() && self.pool_has_room(now) && self.place(now, &mut ticket) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
             return;
         }
         let rate = self.seen.succeeded.read(now, RECENT) / RECENT;
         let place = self.held.partition_point(|held| held.promised <= ticket.promised);
-        let sent = now as f64 + place as f64 / rate.max(1.0 / SECOND);
-        if !ticket.within_share || sent > self.last_start(&ticket) as f64 {
+        let wait = place as f64 / rate.max(1.0 / SECOND);
+        // With nothing to spare a ticket is not even held until the next look: its hard stop may come first.
+        let slack = self.last_start(&ticket) as f64 - now as f64;
+        if !ticket.within_share || slack <= 0.0 || wait > HELD_PART * slack {
             return self.give_up(now, ticket);
         }
         self.held.insert(place, ticket);
@@ -648,7 +656,7 @@
         for mut ticket in std::mem::take(&mut self.held) {
             if self.last_start(&ticket) < now {
                 self.give_up(now, ticket);
-            } else if self.place(now, &mut ticket) {
+            } else if self.pool_has_room(now) && self.place(now, &mut ticket) {
                 self.tickets.insert(Rc::clone(&ticket.id), ticket);
             } else {
                 self.held.push(ticket);
@@ -664,16 +672,14 @@
         let Some(admitted) = self.admitted.get_mut(account) else {
             return true;
         };
-        let share = self.terms.allowances[account] / self.terms.balancers.max(1) as f64;
-        let within = admitted.read(now, SECOND) < share.max(1.0);
+        let usual = self.terms.allowances[account] / self.terms.balancers.max(1) as f64 * RECENT / SECOND;
+        let within = admitted.read(now, RECENT) < usual + usual.sqrt();
         if within {
-            admitted.add(now, SECOND, 1.0);
+            admitted.add(now, RECENT, 1.0);
         }
         within
     }
 
-    // ---- what is seen, and learning ----
-
     /// The upstream's load as it reports it; alike for all balancers and late.
     pub fn load_reported(&mut self, now: Micros, id: &str, busy: Option<f64>, queue: Option<f64>) {
         if let Some(&u) = self.by_id.get(id) {
@@ -734,8 +740,9 @@
             let shortest = upstream.shortest.get_or_insert(answer);
             *shortest += if answer < *shortest { QUICKER } else { SLOWER } * (answer - *shortest);
             upstream.kept.add(now, RECENT, took * ticket.work);
-            payoff = (all / answer).min(BEST_PAYOFF);
+            payoff = (all / answer).min(WIDEST);
         } else if ending == Ending::TurnedAway {
+            upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
             let beyond = 2.0 * STRETCH * upstream.shortest.unwrap_or(answer);
             upstream.answers.add(now, RECENT, beyond, ticket.work);
         } else {
@@ -782,8 +789,7 @@
             for f in 1..FEATURES {
                 let step = STEP * step[f] / OUTCOMES_AN_UPDATE as f64;
                 let moved = self.weights[f] + step + ANCHOR * (START[f] - self.weights[f]);
-                let size =
-                    (moved * START[f].signum()).clamp(FLOOR * START[f].abs(), CEILING * START[f].abs());
+                let size = (moved * START[f].signum()).clamp(FLOOR * START[f].abs(), START[f].abs() / FLOOR);
                 self.weights[f] = size * START[f].signum();
             }
         }
