--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,7 +27,7 @@
 const FEATURES: usize = 8;
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents; own
 /// in-flight is the freshest sign of load and weighs most.
-const START: [f64; FEATURES] = [-2.0, -1.0, -0.3, -3.0, 1.0, 0.5, 3.0, -0.3];
+const START: [f64; FEATURES] = [-4.0, -1.0, -0.3, -3.0, 1.0, 0.5, 7.0, -0.3];
 /// A weight keeps this part of its start value and grows no further than its inverse allows: none changes
 /// sign, vanishes or runs off.
 const FLOOR: f64 = 0.4;
@@ -741,11 +741,10 @@
             *shortest += if answer < *shortest { QUICKER } else { SLOWER } * (answer - *shortest);
             upstream.kept.add(now, RECENT, took * ticket.work);
             payoff = (all / answer).min(WIDEST);
-        } else if ending == Ending::TurnedAway {
-            upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
-            let beyond = 2.0 * STRETCH * upstream.shortest.unwrap_or(answer);
-            upstream.answers.add(now, RECENT, beyond, ticket.work);
         } else {
+            if ending == Ending::TurnedAway {
+                upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
+            }
             upstream.failed.add(now, RECENT, 1.0);
             self.seen.failed.add(now, RECENT, 1.0);
             // A fast failure must not make an upstream look quick.
