--- a/src/decide.rs
+++ b/src/decide.rs
@@ -80,6 +80,8 @@
 /// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
 /// good, make every answer late and serve no more.
 const HELD_PART: f64 = 0.15;
+/// The same for tickets beyond their account's share: under pressure they give way first.
+const HELD_PART_BEYOND: f64 = 0.04;
 /// Expected answer times that must be left when a held ticket is sent.
 const TIME_LEFT: f64 = 2.0;
 
@@ -187,6 +189,7 @@
     weights: [f64; FEATURES],
     samples: Vec<(Scene, f64)>,
     updated: Micros,
+    started: Micros,
     paces: Vec<Pace>,
     seen: Seen,
     admitted: Vec<Fading>,
@@ -208,6 +211,7 @@
             weights: START,
             samples: Vec::new(),
             updated: now,
+            started: now,
             paces: vec![Pace::default(); terms.use_cases.len()],
             seen: Seen::default(),
             admitted: vec![Fading::default(); terms.allowances.len()],
@@ -264,8 +268,6 @@
         self.pump(now);
     }
 
-    // ---- a ticket's way ----
-
     #[allow(clippy::too_many_arguments)]
     pub fn ticket_arrived(
         &mut self,
@@ -306,9 +308,6 @@
         if let Some(u) = trial {
             return self.send(now, ticket, u, None);
         }
-        if ready.is_empty() {
-            return false;
-        }
         let rows = self.features(now, ticket, &ready);
         let score = |(row, u)| (softplus(dot(&self.weights, &row)), row, u);
         let mut scored: Vec<_> = rows.into_iter().zip(ready).map(score).collect();
@@ -321,7 +320,9 @@
             left < 0.0
         };
         let drawn = chances.iter().position(beyond).unwrap_or(0);
-        let (chance, u) = (chances[drawn], scored[drawn].2);
+        let Some((chance, u)) = chances.get(drawn).map(|chance| (*chance, scored[drawn].2)) else {
+            return false;
+        };
         let rows = scored.into_iter().map(|s| s.1).collect();
         self.send(now, ticket, u, Some(Scene { rows, drawn, chance }))
     }
@@ -615,7 +616,7 @@
             held += upstream.in_flight as f64;
             limit += self.limit(now, u);
         }
-        held < f64::max(limit + limit.sqrt(), 2.0)
+        held < f64::max(limit + (limit / self.terms.balancers.max(1) as f64).sqrt(), 2.0)
     }
 
     /// The moment after which an answer would likely come too late to be of use.
@@ -624,19 +625,21 @@
         ticket.promised.min(ticket.hard_stop.saturating_sub(PUMP_EVERY)).saturating_sub(needed as Micros)
     }
 
-    /// Places a ticket, or holds it where it is within its account's share and would be sent in time, else
-    /// dismisses it at once.
+    /// Places a ticket, or holds it where it would be sent soon, else dismisses it at once.
     fn admit(&mut self, now: Micros, mut ticket: Ticket) {
         if self.held.is_empty() && self.pool_has_room(now) && self.place(now, &mut ticket) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
             return;
         }
-        let rate = self.seen.succeeded.read(now, RECENT) / RECENT;
+        // Just after a start the sum has not filled: read as it is, it would make the queue look endless.
+        let watched = RECENT.min(now.saturating_sub(self.started) as f64);
+        let rate = self.seen.succeeded.read(now, RECENT) / watched.max(1.0);
         let place = self.held.partition_point(|held| held.promised <= ticket.promised);
         let wait = place as f64 / rate.max(1.0 / SECOND);
         // With nothing to spare a ticket is not even held until the next look: its hard stop may come first.
         let slack = self.last_start(&ticket) as f64 - now as f64;
-        if !ticket.within_share || slack <= 0.0 || wait > HELD_PART * slack {
+        let part = if ticket.within_share { HELD_PART } else { HELD_PART_BEYOND };
+        if slack <= 0.0 || wait > part * slack {
             return self.give_up(now, ticket);
         }
         self.held.insert(place, ticket);
@@ -716,7 +719,7 @@
         let pace = &mut self.paces[ticket.use_case];
         let took = took.max(1) as f64 / ticket.work;
         let all = self.seen.answers.read().unwrap_or(took);
-        let answer = took * all / pace.lasting.read().unwrap_or(took).max(1.0);
+        let mut answer = took * all / pace.lasting.read().unwrap_or(took).max(1.0);
         if ending != Ending::Silent {
             upstream.unanswered_since = (upstream.in_flight > 0).then_some(now);
         }
@@ -734,8 +737,6 @@
             pace.present.add(now, RECENT, took, ticket.work);
             pace.lasting.add(now, LASTING, took, ticket.work);
             self.seen.answers.add(now, LASTING, took, ticket.work);
-            upstream.answers.add(now, RECENT, answer, ticket.work);
-            upstream.lasting_answers.add(now, LASTING, answer, ticket.work);
             upstream.served.add(now, LASTING, ticket.work);
             let shortest = upstream.shortest.get_or_insert(answer);
             *shortest += if answer < *shortest { QUICKER } else { SLOWER } * (answer - *shortest);
@@ -748,10 +749,10 @@
             upstream.failed.add(now, RECENT, 1.0);
             self.seen.failed.add(now, RECENT, 1.0);
             // A fast failure must not make an upstream look quick.
-            let as_late = answer.max(FAILURE_LATENCY * all);
-            upstream.answers.add(now, RECENT, as_late, ticket.work);
-            upstream.lasting_answers.add(now, LASTING, as_late, ticket.work);
+            answer = answer.max(FAILURE_LATENCY * all);
         }
+        upstream.answers.add(now, RECENT, answer, ticket.work);
+        upstream.lasting_answers.add(now, LASTING, answer, ticket.work);
         if let Some(scene) = dispatch.scene.take() {
             self.samples.push((scene, payoff));
         }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -281,11 +281,23 @@
 #[case::beyond(60.0, 0)]
 #[case::within(0.0, 1)]
 fn under_pressure_a_share_is_kept_to(#[case] admitted: f64, #[case] held: usize) {
-    let (mut balancer, diary) = balancer(Effect::Redoable, 1);
-    balancer.upstreams[0].in_flight = 9;
+    let (mut balancer, diary) = balancer(Effect::Redoable, 0);
     balancer.admitted[0].add(START_AT, RECENT, admitted);
+    balancer.seen.succeeded.add(START_AT, RECENT, 80.0);
+    balancer.started = 0;
+    balancer.held.push(ticket(&[], false));
     arrive(&mut balancer, START_AT, "a");
-    assert_eq!((balancer.held.len(), diary.count("dismiss")), (held, 1 - held));
+    assert_eq!((balancer.held.len() - 1, diary.count("dismiss")), (held, 1 - held));
+}
+
+#[rstest]
+fn a_fresh_start_does_not_make_the_queue_look_endless() {
+    let (mut balancer, diary) = balancer(Effect::Redoable, 0);
+    let now = START_AT + 100 * MS;
+    balancer.seen.succeeded.add(now, RECENT, 6.0);
+    balancer.held.push(ticket(&[], false));
+    arrive(&mut balancer, now, "a");
+    assert_eq!((balancer.held.len(), diary.count("dismiss")), (2, 0));
 }
 
 #[rstest]
