Shortest answer time follows the lasting mean; further dispatches all within their budget

South's contraction to the least limit under plain load: single quick answers set the shortest time far below the mean wherever work varies, so shortest / present was under a half without any jam. It follows the lasting mean now, stretch 1.4. Suspicion holds where most of the fleet fails (the share needed could exceed one), an upstream without a free connection rests like a refusing one, and dispatches proven not run count against the budget for further ones.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,9 +50,11 @@
 
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
 const SILENT: f64 = 4.0;
-/// Failed share, beyond twice the fleet's, that makes an upstream failing, and the failures needed.
+/// Failed share, of what the fleet's leaves, that makes an upstream failing, and the failures needed.
 const FAILING: f64 = 0.3;
 const FAILURES: f64 = 1.5;
+/// Suspected upstreams for each other one: the limits keep those left from being swamped.
+const MOST_OUT: usize = 3;
 /// First wait before a trial, in expected answer times; doubled at each failed trial so many times.
 const TRIAL_WAIT: f64 = 3.0;
 const TRIAL_DOUBLINGS: u32 = 4;
@@ -66,13 +68,12 @@
 const FURTHER: f64 = 0.3;
 const FURTHER_FREE: f64 = 2.0;
 
-/// The shortest answer time follows quicker answers at the first rate and slower ones at the second, so it
-/// stays near the low end of what the upstream does, and a lasting change is learned.
+/// The shortest answer time follows quicker means at the first rate and slower ones at the second: a jam is
+/// not taken for the usual, yet a lasting change is learned.
 const QUICKER: f64 = 0.1;
 const SLOWER: f64 = 0.002;
-/// What is kept in flight, against what the shortest answer times would need: one served, one waiting, and
-/// as much again because the shortest lies below the mean.
-const STRETCH: f64 = 2.0;
+/// What is kept in flight, against what the shortest answer times would need.
+const STRETCH: f64 = 1.4;
 /// In flight for each ready upstream, over all balancers, that is never denied: less would leave cores idle.
 const LEAST_EACH: f64 = 2.0;
 /// How often held tickets are looked at when nothing else happens.
@@ -223,8 +224,6 @@
         balancer
     }
 
-    // ---- 1. the list and drains ----
-
     /// The list failed or broke: the previous one stands, and we ask anew after a growing, scattered wait,
     /// which neither crowds the roster nor comes near the span after which we count as told.
     pub fn list_failed(&mut self) {
@@ -430,9 +429,8 @@
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
         } else {
             let unseen = ticket.dispatches.iter().all(|d| !d.may_have_run);
-            let again = unseen
-                || self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible
-                    && self.may_spend_more(now);
+            let redone = self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible;
+            let again = (unseen || redone) && self.may_spend_more(now);
             match again && ticket.dispatches.len() < self.terms.most_dispatches {
                 true => self.admit(now, ticket),
                 false => self.give_up(now, ticket),
@@ -503,8 +501,6 @@
         }
     }
 
-    // ---- 2. the cold allowance ----
-
     fn is_cold(&self, now: Micros, u: usize) -> bool {
         let launched = self.upstreams[u].launched;
         launched > 0 && now < launched + self.terms.warming.warm_after
@@ -524,10 +520,8 @@
         spent < ALL_BUT_GONE || spent + work < budget
     }
 
-    // ---- 3. suspicion ----
-
     /// Parts the candidates into those to draw from and one due for a trial. Suspicion is relative to the
-    /// fleet and never takes out more than half: when all seem ill, the cause lies elsewhere.
+    /// fleet and leaves a few in: when all seem ill, the cause lies elsewhere.
     fn suspect(&mut self, now: Micros, ticket: &Ticket, open: Vec<usize>) -> (Vec<usize>, Option<usize>) {
         // What is out may be of any use case: the slowest one sets how long silence is usual.
         let expected = (0..self.paces.len()).map(|c| self.expected(c)).fold(0.0, f64::max);
@@ -538,7 +532,7 @@
             let failed = upstream.failed.read(now, RECENT);
             let share = failed / (failed + upstream.succeeded.read(now, RECENT)).max(1e-9);
             let enough = if upstream.suspected { FAILURES / 3.0 } else { FAILURES };
-            let suspected = silent || (failed > enough && share > FAILING + 2.0 * usual);
+            let suspected = silent || (failed > enough && share > FAILING + (1.0 - FAILING) * usual);
             if suspected && !upstream.suspected {
                 upstream.trial_at = now + (TRIAL_WAIT * expected) as Micros;
                 upstream.failed_trials = 0;
@@ -546,7 +540,7 @@
             upstream.suspected = suspected;
         }
         let (out, ready): (Vec<usize>, Vec<usize>) = open.iter().partition(|&&u| self.upstreams[u].suspected);
-        if out.len() > ready.len() {
+        if out.len() > MOST_OUT * ready.len() {
             return (open, None);
         }
         let again = self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible;
@@ -562,8 +556,6 @@
         (ready, trial)
     }
 
-    // ---- 4. further dispatches and patience ----
-
     /// How often follows the share of the recent further dispatches that succeeded.
     fn may_spend_more(&self, now: Micros) -> bool {
         let further = self.seen.further.read(now, LASTING);
@@ -591,8 +583,6 @@
         self.tickets.insert(Rc::clone(&ticket.id), ticket);
     }
 
-    // ---- 5. the in-flight limit ----
-
     /// What an upstream may hold of this balancer's: what its served rate keeps in flight, times its
     /// shortest ÷ present answer time, and some room.
     fn limit(&self, now: Micros, u: usize) -> f64 {
@@ -668,8 +658,6 @@
         self.set_pump();
     }
 
-    // ---- 6. account shares ----
-
     /// Whether a ticket lies within this balancer's part of its account's allowance.
     fn within_share(&mut self, now: Micros, account: usize) -> bool {
         let Some(admitted) = self.admitted.get_mut(account) else {
@@ -738,12 +726,13 @@
             pace.lasting.add(now, LASTING, took, ticket.work);
             self.seen.answers.add(now, LASTING, took, ticket.work);
             upstream.served.add(now, LASTING, ticket.work);
-            let shortest = upstream.shortest.get_or_insert(answer);
-            *shortest += if answer < *shortest { QUICKER } else { SLOWER } * (answer - *shortest);
+            let mean = upstream.lasting_answers.read().unwrap_or(answer);
+            let shortest = upstream.shortest.get_or_insert(mean);
+            *shortest += if mean < *shortest { QUICKER } else { SLOWER } * (mean - *shortest);
             upstream.kept.add(now, RECENT, took * ticket.work);
             payoff = (all / answer).min(WIDEST);
         } else {
-            if ending == Ending::TurnedAway {
+            if ending.proves_not_run() {
                 upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
             }
             upstream.failed.add(now, RECENT, 1.0);
