--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -257,6 +257,16 @@
     assert_eq!((ready.len(), trial), (left, None));
 }
 
+#[rstest]
+fn a_failing_upstream_is_seen_where_most_fail() {
+    let (mut balancer, _) = balancer(Effect::Redoable, 4);
+    balancer.seen.failed.add(START_AT, RECENT, 30.0);
+    balancer.seen.succeeded.add(START_AT, RECENT, 10.0);
+    (0..3).for_each(|u| balancer.upstreams[u].failed.add(START_AT, RECENT, 10.0));
+    let (ready, _) = balancer.suspect(START_AT, &ticket(&[], false), vec![0, 1, 2, 3]);
+    assert_eq!(ready, [3]);
+}
+
 #[rstest]
 fn a_suspect_comes_back_by_a_trial() {
     let (mut balancer, _) = balancer(Effect::Redoable, 4);
@@ -266,6 +276,40 @@
     assert_eq!(trial, Some(2));
 }
 
+#[rstest]
+fn one_lucky_answer_is_not_the_shortest() {
+    let (mut balancer, _) = balancer(Effect::Redoable, 1);
+    balancer.upstreams[0].shortest = Some(100_000.0);
+    balancer.upstreams[0].lasting_answers.add(START_AT, LASTING, 100_000.0, 20.0);
+    let mut sent = ticket(&[0], true);
+    sent.dispatches[0].out = true;
+    balancer.ended(START_AT, &mut sent, 0, Ending::Succeeded, 5_000);
+    assert!(balancer.upstreams[0].shortest > Some(99_000.0));
+}
+
+#[rstest]
+#[case::helpful(40.0, true)]
+#[case::useless(0.0, false)]
+fn further_dispatches_follow_their_success(#[case] succeeded: f64, #[case] open: bool) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 1);
+    balancer.seen.arrivals.add(START_AT, LASTING, 200.0);
+    balancer.seen.further.add(START_AT, LASTING, 40.0);
+    balancer.seen.further_succeeded.add(START_AT, LASTING, succeeded);
+    assert_eq!(balancer.may_spend_more(START_AT), open);
+}
+
+#[rstest]
+fn balancers_agree_on_the_homes_of_a_key() {
+    let keyed = Ticket { key: Some(4711), ..ticket(&[], false) };
+    let mets = [3, 9].map(|seed| {
+        let (mut balancer, _) = balancer(Effect::Redoable, 5);
+        balancer.chance = WyRand::new_seed(seed);
+        balancer.features(START_AT, &keyed, &[0, 1, 2, 3, 4]).iter().map(|row| row[6]).collect::<Vec<_>>()
+    });
+    assert_eq!(mets[0], mets[1]);
+    assert!((mets[0].iter().sum::<f64>() - 11.0 / 6.0).abs() < 1e-9);
+}
+
 #[rstest]
 #[case::quick(1.0, 20.0 * STRETCH)]
 #[case::slowed(5.0, 4.0 * STRETCH)]
