--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,7 +27,7 @@
 const FEATURES: usize = 8;
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents; own
 /// in-flight is the freshest sign of load and weighs most.
-const START: [f64; FEATURES] = [-4.0, -1.0, -0.3, -3.0, 1.0, 0.5, 7.0, -0.3];
+const START: [f64; FEATURES] = [-4.0, -1.0, -0.3, -3.0, 1.0, 1.0, 7.0, -0.3];
 /// A weight keeps this part of its start value and grows no further than its inverse allows: none changes
 /// sign, vanishes or runs off.
 const FLOOR: f64 = 0.4;
@@ -62,7 +62,7 @@
 const FAILURE_LATENCY: f64 = 3.0;
 
 /// Patience in expected answer times before a further dispatch.
-const PATIENCE: f64 = 3.0;
+const PATIENCE: f64 = 4.0;
 /// Further dispatches as a share of tickets when all the recent ones succeeded, and some always open so
 /// that a quiet balancer can act at all.
 const FURTHER: f64 = 0.3;
@@ -583,11 +583,17 @@
         self.tickets.insert(Rc::clone(&ticket.id), ticket);
     }
 
+    /// The span that sums over `RECENT` stand for. Just after a start they have not filled: read as if they
+    /// had, they would make the fleet look idle and the queue endless.
+    fn watched(&self, now: Micros) -> f64 {
+        RECENT.min(now.saturating_sub(self.started) as f64).max(RECENT / 4.0)
+    }
+
     /// What an upstream may hold of this balancer's: what its served rate keeps in flight, times its
     /// shortest ÷ present answer time, and some room.
     fn limit(&self, now: Micros, u: usize) -> f64 {
         let upstream = &self.upstreams[u];
-        let kept = upstream.kept.read(now, RECENT) / RECENT;
+        let kept = upstream.kept.read(now, RECENT) / self.watched(now);
         let present = upstream.latency(now).unwrap_or(0.0);
         let ratio = upstream.shortest.map_or(1.0, |shortest| (shortest / present).min(1.0));
         (LEAST_EACH / self.terms.balancers.max(1) as f64).max(STRETCH * kept * ratio)
@@ -621,9 +627,7 @@
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
             return;
         }
-        // Just after a start the sum has not filled: read as it is, it would make the queue look endless.
-        let watched = RECENT.min(now.saturating_sub(self.started) as f64);
-        let rate = self.seen.succeeded.read(now, RECENT) / watched.max(1.0);
+        let rate = self.seen.succeeded.read(now, RECENT) / self.watched(now);
         let place = self.held.partition_point(|held| held.promised <= ticket.promised);
         let wait = place as f64 / rate.max(1.0 / SECOND);
         // With nothing to spare a ticket is not even held until the next look: its hard stop may come first.
