--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,7 +44,7 @@
 const OUTCOMES_AN_UPDATE: usize = 256;
 const UPDATE_EVERY: Micros = 2_000_000;
 
-/// Horizons of what must follow the present, and of what describes a machine.
+/// Horizons of the present and of what describes a machine.
 const RECENT: f64 = 2.0 * SECOND;
 const LASTING: f64 = 15.0 * SECOND;
 
@@ -63,8 +63,7 @@
 
 /// Patience in expected answer times before a further dispatch.
 const PATIENCE: f64 = 4.0;
-/// Further dispatches as a share of tickets when all the recent ones succeeded, and some always open so
-/// that a quiet balancer can act at all.
+/// Further dispatches as a share of tickets when all recent ones succeeded, and some that are always open.
 const FURTHER: f64 = 0.3;
 const FURTHER_FREE: f64 = 2.0;
 
@@ -73,9 +72,11 @@
 const QUICKER: f64 = 0.1;
 const SLOWER: f64 = 0.002;
 /// What is kept in flight, against what the shortest answer times would need.
-const STRETCH: f64 = 1.4;
+const STRETCH: f64 = 1.5;
 /// In flight for each ready upstream, over all balancers, that is never denied: less would leave cores idle.
 const LEAST_EACH: f64 = 2.0;
+/// Where a limit counts as one ticket more: above a half, a limit of one could never grow.
+const ROUNDING: f64 = 0.4;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
 /// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
@@ -86,9 +87,9 @@
 /// Expected answer times that must be left when a held ticket is sent.
 const TIME_LEFT: f64 = 2.0;
 
-/// Share of a cold upstream's budget that is used: its true capacity is a guess.
+/// Share of a cold upstream's budget that is used, its true capacity being a guess, and the part of a usual
+/// ticket below which earlier spending is past.
 const COLD_MARGIN: f64 = 0.4;
-/// Part of a usual ticket below which earlier spending on a cold upstream is past.
 const ALL_BUT_GONE: f64 = 0.4;
 
 const FOLLOW_ALARM: u64 = 0;
@@ -458,8 +459,10 @@
             Effect::Redoable | Effect::Labelled { group: Group::All, .. } => true,
             Effect::Labelled { .. } | Effect::Irreversible => !ran,
         };
+        let soon = self.expected(ticket.use_case) as Micros;
         match harmless {
-            true => self.host.dismiss(&ticket.id, self.terms.longest_come_back),
+            // Asked to come back after its promised time, a ticket would cost its work and earn nothing.
+            true => self.host.dismiss(&ticket.id, soon.min(self.terms.longest_come_back)),
             false => self.host.abandon(&ticket.id),
         }
         self.close(now, ticket, 0);
@@ -601,7 +604,7 @@
 
     fn has_room(&self, now: Micros, u: usize) -> bool {
         let up = &self.upstreams[u];
-        up.full_until <= now && (up.in_flight == 0 || up.in_flight as f64 + 0.5 < self.limit(now, u))
+        up.full_until <= now && (up.in_flight == 0 || up.in_flight as f64 + ROUNDING < self.limit(now, u))
     }
 
     /// Whether all limits together leave room, with their root for chance: where balancers are many, each
@@ -621,7 +624,6 @@
         ticket.promised.min(ticket.hard_stop.saturating_sub(PUMP_EVERY)).saturating_sub(needed as Micros)
     }
 
-    /// Places a ticket, or holds it where it would be sent soon, else dismisses it at once.
     fn admit(&mut self, now: Micros, mut ticket: Ticket) {
         if self.held.is_empty() && self.pool_has_room(now) && self.place(now, &mut ticket) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
