--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,8 +36,7 @@
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: u8 = 3;
 const STEP: f64 = 0.1;
-/// The paper's ε.
-const CLIP: f64 = 0.2;
+const CLIP: f64 = 0.2; // the paper's ε
 const EPOCHS: usize = 2;
 /// Share of the way back to the start weights at each update: few or odd payoffs cannot add up to a drift.
 const ANCHOR: f64 = 0.02;
@@ -84,6 +83,8 @@
 const HELD_PART: f64 = 0.15;
 /// The same for tickets beyond their account's share: under pressure they give way first.
 const HELD_PART_BEYOND: f64 = 0.04;
+/// Expected answer times after which a dismissed ticket may come back: past its promised time none is of use.
+const COME_BACK: f64 = 0.5;
 /// Expected answer times that must be left when a held ticket is sent.
 const TIME_LEFT: f64 = 2.0;
 
@@ -459,9 +460,8 @@
             Effect::Redoable | Effect::Labelled { group: Group::All, .. } => true,
             Effect::Labelled { .. } | Effect::Irreversible => !ran,
         };
-        let soon = self.expected(ticket.use_case) as Micros;
+        let soon = (COME_BACK * self.expected(ticket.use_case)) as Micros;
         match harmless {
-            // Asked to come back after its promised time, a ticket would cost its work and earn nothing.
             true => self.host.dismiss(&ticket.id, soon.min(self.terms.longest_come_back)),
             false => self.host.abandon(&ticket.id),
         }
