--- a/src/decide.rs
+++ b/src/decide.rs
@@ -592,8 +592,7 @@
         RECENT.min(now.saturating_sub(self.started) as f64).max(RECENT / 4.0)
     }
 
-    /// What an upstream may hold of this balancer's: what its served rate keeps in flight, times its
-    /// shortest ÷ present answer time, and some room.
+    /// What an upstream may hold of ours: the in-flight its served rate needs × shortest ÷ present answer time.
     fn limit(&self, now: Micros, u: usize) -> f64 {
         let upstream = &self.upstreams[u];
         let kept = upstream.kept.read(now, RECENT) / self.watched(now);
@@ -624,6 +623,7 @@
         ticket.promised.min(ticket.hard_stop.saturating_sub(PUMP_EVERY)).saturating_sub(needed as Micros)
     }
 
+    /// Places a ticket, or holds it where it would be sent soon, else gives it up at once.
     fn admit(&mut self, now: Micros, mut ticket: Ticket) {
         if self.held.is_empty() && self.pool_has_room(now) && self.place(now, &mut ticket) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
