--- a/src/decide.rs
+++ b/src/decide.rs
@@ -592,7 +592,7 @@
         RECENT.min(now.saturating_sub(self.started) as f64).max(RECENT / 4.0)
     }
 
-    /// What an upstream may hold of ours: the in-flight its served rate needs × shortest ÷ present answer time.
+    /// What an upstream may hold of ours: what its served rate needs × shortest ÷ present answer time.
     fn limit(&self, now: Micros, u: usize) -> f64 {
         let upstream = &self.upstreams[u];
         let kept = upstream.kept.read(now, RECENT) / self.watched(now);
