--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -123,8 +123,16 @@
     let (caps, rules) = (part(conf, "caps")?, part(conf, "rules")?);
     let family = optional(conf, "familyInfo", Some)?.unwrap_or(&Value::Null);
     let accounts = optional(conf, "accounts", Value::as_array)?;
+    let (balancers, own_number) = (count(conf, "fleetSize")?, count(conf, "me")?);
+    if balancers == 0 {
+        return Err("field 'fleetSize' is 0".into());
+    }
+    if own_number >= balancers {
+        return Err(format!("field 'me' is {own_number} in a fleet of {balancers}"));
+    }
     Ok(Terms {
-        balancers: count(conf, "fleetSize")?,
+        balancers,
+        own_number,
         zone: whole(conf, "zone")?,
         ask_within: match text(conf, "registryMode")? {
             "ask" => Some(whole(rules, "askWithinUs")?),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,6 +15,7 @@
 use nanorand::{Rng, WyRand};
 
 use crate::fading::{Fading, Mean};
+use crate::known::{Dispatch, FEATURES, Pace, Scene, Seen, Ticket, Upstream};
 use crate::{Effect, Ending, Group, Host, Micros, Terms};
 
 #[cfg(test)]
@@ -22,9 +23,6 @@
 
 const SECOND: f64 = 1e6;
 
-/// Features of an upstream for one ticket, each about 0 for an average one: constant, own latency, reported
-/// utilisation, own in flight, capacity, same zone, key likely met, reported queue.
-const FEATURES: usize = 8;
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents; own
 /// in-flight is the freshest sign of load and weighs most.
 const START: [f64; FEATURES] = [-4.0, -1.0, -0.3, -3.0, 1.0, 1.0, 7.0, -0.3];
@@ -34,7 +32,17 @@
 /// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
 const WIDEST: f64 = 3.0;
 /// Upstreams a key is spread over, each with less pull than the one before.
-const KEY_RANKS: u8 = 3;
+const KEY_RANKS: usize = 3;
+/// Sums that all keys share out among them: enough to tell the popular ones.
+const KEY_SUMS: usize = 1024;
+/// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
+/// enough to choose among, few enough to be heard often.
+const CIRCLE_SHARERS: usize = 4;
+const CIRCLE_LEAST: usize = 12;
+const NEAR_FOR_ONE_FAR: usize = 2;
+/// Irrational parts of a ring: starts and steps spread evenly whatever the numbers.
+const RING_START: f64 = 0.618_033_988_749_895;
+const RING_STEP: f64 = std::f64::consts::SQRT_2;
 const STEP: f64 = 0.1;
 const CLIP: f64 = 0.2; // the paper's ε
 const EPOCHS: usize = 2;
@@ -89,93 +97,18 @@
 const TIME_LEFT: f64 = 2.0;
 
 /// Share of a cold upstream's budget that is used, its true capacity being a guess, and the part of a usual
-/// ticket below which earlier spending is past.
+/// ticket by which a heavy one may go beyond.
 const COLD_MARGIN: f64 = 0.4;
-const ALL_BUT_GONE: f64 = 0.4;
+const COLD_ROUNDING: f64 = 0.5;
+
+/// Part of the time to ask for the list over which a very large fleet spreads its asking, and how many
+/// balancers beside this one spread over half of that.
+const FOLLOW_WITHIN: f64 = 0.8;
+const FOLLOWERS: f64 = 32.0;
 
 const FOLLOW_ALARM: u64 = 0;
 const PUMP_ALARM: u64 = 1;
 
-/// One upstream as this balancer knows it. Answer times are per usual ticket.
-#[derive(Default)]
-struct Upstream {
-    id: Rc<str>,
-    hash: u64,
-    zone: u64,
-    cell: u64,
-    ready: bool,
-    weight: Mean,
-    launched: Micros,
-    in_flight: usize,
-    work_in_flight: f64,
-    answers: Mean,
-    lasting_answers: Mean,
-    shortest: Option<f64>,
-    served: Fading,
-    /// Time that succeeded dispatches were in flight.
-    kept: Fading,
-    succeeded: Fading,
-    failed: Fading,
-    unanswered_since: Option<Micros>,
-    /// Turned a ticket away: nothing more until one has likely left, or refusals would come in storms.
-    full_until: Micros,
-    suspected: bool,
-    trial_at: Micros,
-    failed_trials: u32,
-    utilisation: Option<f64>,
-    queue: Option<f64>,
-    reported: Micros,
-    cold_spent: Fading,
-}
-
-/// What the mechanism saw when it drew: candidates by falling priority, and which was drawn.
-struct Scene {
-    rows: Vec<[f64; FEATURES]>,
-    drawn: usize,
-    chance: f64,
-}
-
-struct Dispatch {
-    upstream: usize,
-    sent: Micros,
-    out: bool,
-    may_have_run: bool,
-    scene: Option<Scene>,
-}
-
-struct Ticket {
-    id: Rc<str>,
-    use_case: usize,
-    key: Option<u64>,
-    promised: Micros,
-    hard_stop: Micros,
-    /// Work against a usual ticket of its use case.
-    work: f64,
-    within_share: bool,
-    streaming: bool,
-    dispatches: Vec<Dispatch>,
-}
-
-/// What is known of one use case.
-#[derive(Clone, Default)]
-struct Pace {
-    present: Mean,
-    lasting: Mean,
-    hint: Mean,
-}
-
-/// What is seen of the fleet and of the traffic as a whole.
-#[derive(Default)]
-struct Seen {
-    answers: Mean,
-    payoffs: Mean,
-    succeeded: Fading,
-    failed: Fading,
-    arrivals: Fading,
-    further: Fading,
-    further_succeeded: Fading,
-}
-
 /// One balancer.
 pub struct Balancer<H: Host> {
     host: H,
@@ -183,12 +116,19 @@
     chance: WyRand,
     upstreams: Vec<Upstream>,
     by_id: HashMap<Rc<str>, usize>,
+    /// All ready upstreams in this balancer's own order, the first of which it keeps to.
+    order: Vec<usize>,
+    keys: Vec<Fading>,
     tickets: HashMap<Rc<str>, Ticket>,
     held: Vec<Ticket>,
     alarms: HashMap<u64, Rc<str>>,
     last_alarm: u64,
     pump_set: bool,
     failed_follows: u32,
+    /// Warm ready upstreams when last counted.
+    warm: usize,
+    /// Own chance that stays for the whole life.
+    salt: u64,
     weights: [f64; FEATURES],
     samples: Vec<(Scene, f64)>,
     updated: Micros,
@@ -203,8 +143,12 @@
         let mut balancer = Self {
             host,
             chance: WyRand::new_seed(seed),
+            warm: 0,
+            salt: mixed(seed, 0),
             upstreams: Vec::new(),
             by_id: HashMap::new(),
+            order: Vec::new(),
+            keys: vec![Fading::default(); if terms.keys_kept { KEY_SUMS } else { 0 }],
             tickets: HashMap::new(),
             held: Vec::new(),
             alarms: HashMap::new(),
@@ -220,17 +164,25 @@
             admitted: vec![Fading::default(); terms.allowances.len()],
             terms,
         };
-        if balancer.terms.ask_within.is_some() {
-            balancer.host.follow_list();
+        match balancer.follow_spread() {
+            Some(0) => balancer.host.follow_list(),
+            Some(spread) => balancer.host.wake(balancer.chance.generate_range(0..=spread), FOLLOW_ALARM),
+            None => {}
         }
         balancer
     }
 
-    /// The list failed or broke: the previous one stands, and we ask anew after a growing, scattered wait,
-    /// which neither crowds the roster nor comes near the span after which we count as told.
+    /// Over how long the balancers spread their asking for the list: all at once they would crowd the roster,
+    /// which does not grow with them. It stays within the span after which we count as told.
+    fn follow_spread(&self) -> Option<Micros> {
+        let others = self.terms.balancers as f64 - 1.0;
+        self.terms.ask_within.map(|w| (FOLLOW_WITHIN * w as f64 * others / (others + FOLLOWERS)) as Micros)
+    }
+
+    /// The list failed or broke: the previous one stands, and we ask anew after a growing, scattered wait.
     pub fn list_failed(&mut self) {
-        if let Some(within) = self.terms.ask_within {
-            let wait = (within / 64) << self.failed_follows.min(4);
+        if let (Some(within), Some(spread)) = (self.terms.ask_within, self.follow_spread()) {
+            let wait = spread.max((within / 64) << self.failed_follows.min(4));
             self.failed_follows += 1;
             let scattered = wait as f64 * (0.5 + self.chance.generate::<f64>() / 2.0);
             self.host.wake(scattered as Micros, FOLLOW_ALARM);
@@ -266,9 +218,36 @@
 
     pub fn list_ends(&mut self, now: Micros) {
         self.failed_follows = 0;
+        self.draw_order();
         self.pump(now);
     }
 
+    /// Balancers that see little each keep to a few upstreams, of which they then hear often. Where each
+    /// starts on the common ring follows from its number, so that every upstream has as many balancers as
+    /// another and no two balancers share a set; so many of the own zone come for each one from elsewhere.
+    fn draw_order(&mut self) {
+        let mut ring: Vec<usize> = (0..self.upstreams.len()).filter(|&u| self.upstreams[u].ready).collect();
+        if ring.len() == self.order.len() && self.order.iter().all(|&u| self.upstreams[u].ready) {
+            return;
+        }
+        ring.sort_by_key(|&u| (self.upstreams[u].hash, u));
+        let (near, far): (Vec<_>, Vec<_>) =
+            ring.into_iter().partition(|&u| self.upstreams[u].zone == self.terms.zone);
+        let own = self.terms.own_number as f64 * RING_START;
+        let [mut near, mut far] = [near, far].map(|ring| scattered(ring, own).into_iter().peekable());
+        self.order.clear();
+        while near.peek().is_some() || far.peek().is_some() {
+            self.order.extend(near.by_ref().take(NEAR_FOR_ONE_FAR).chain(far.by_ref().take(1)));
+        }
+    }
+
+    /// How many upstreams this balancer keeps to, and how many balancers keep to each.
+    fn circle(&self) -> (usize, f64) {
+        let (ready, balancers) = (self.order.len(), self.terms.balancers);
+        let kept = (CIRCLE_SHARERS * ready).div_ceil(balancers).max(CIRCLE_LEAST).min(ready);
+        (kept, (kept * balancers) as f64 / ready.max(1) as f64)
+    }
+
     #[allow(clippy::too_many_arguments)]
     pub fn ticket_arrived(
         &mut self,
@@ -284,6 +263,9 @@
             return self.host.dismiss(id, 0);
         };
         self.seen.arrivals.add(now, LASTING, 1.0);
+        if let Some(key) = key.filter(|_| self.terms.keys_kept) {
+            self.keys[mixed(key, 0) as usize % KEY_SUMS].add(now, LASTING, 1.0);
+        }
         let work = hint.map_or(1.0, |hint| {
             let usual = &mut self.paces[use_case].hint;
             usual.add(now, LASTING, hint as f64, 1.0);
@@ -298,14 +280,7 @@
 
     /// The ordinary path of a ticket, from what is known of the upstreams to the dispatch.
     fn place(&mut self, now: Micros, ticket: &mut Ticket) -> bool {
-        let mut open: Vec<usize> = (0..self.upstreams.len())
-            .filter(|&u| self.permitted(now, ticket, u) && self.has_room(now, u))
-            .collect();
-        let met = |u: &usize| ticket.dispatches.iter().any(|d| d.upstream == *u);
-        if !open.iter().all(met) {
-            open.retain(|u| !met(u));
-        }
-        let (ready, trial) = self.suspect(now, ticket, open);
+        let (ready, trial) = self.candidates(now, ticket);
         if let Some(u) = trial {
             return self.send(now, ticket, u, None);
         }
@@ -347,13 +322,13 @@
         let queue = gather(&|up| up.queue.map(|queue| queue + 1.0));
         let busy = gather(&|up| up.utilisation.map(|busy| busy + 0.1));
         let in_flight = gather(&|up| Some(0.5 + up.work_in_flight));
-        // All balancers rank a key's upstreams alike without speaking: who ranks first has likely met it.
         let mut met = vec![0.0; ready.len()];
         if let (Some(key), true) = (ticket.key, self.terms.keys_kept) {
-            let mut ranked: Vec<usize> = (0..ready.len()).collect();
+            let mut ranked: Vec<usize> = (0..ready.len()).filter(|&at| !self.is_cold(now, ready[at])).collect();
             ranked.sort_by_key(|&place| std::cmp::Reverse(mixed(key, ups[ready[place]].hash)));
-            let ranks = ranked.iter().zip(1..=KEY_RANKS);
-            ranks.for_each(|(&place, rank)| met[place] = 1.0 / f64::from(rank));
+            let full = self.key_share(now, key) * self.order.len() as f64;
+            let ranks = ranked.iter().zip(1..KEY_RANKS + full as usize + 1);
+            ranks.for_each(|(&place, rank)| met[place] = 1.0 / (rank as f64 - full).max(1.0));
         }
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
         let row = |(i, &u): (usize, &usize)| {
@@ -369,7 +344,10 @@
             return false;
         }
         if self.is_cold(now, u) {
-            self.upstreams[u].cold_spent.add(now, self.terms.warming.span as f64, ticket.work);
+            let (span, _) = self.cold_budget(now, u);
+            let (spent_in, spent) = &mut self.upstreams[u].cold_spent;
+            *spent = if *spent_in == span { *spent + ticket.work } else { ticket.work };
+            *spent_in = span;
         }
         let upstream = &mut self.upstreams[u];
         upstream.in_flight += 1;
@@ -509,43 +487,75 @@
         launched > 0 && now < launched + self.terms.warming.warm_after
     }
 
-    /// Whether a cold upstream's budget has room. Its full capacity is not told; it is taken to be what warm
-    /// upstreams are seen to bear. A lone ticket always passes, or a quiet fleet would never warm.
+    /// The span of a cold upstream's life that the present belongs to, and what may be sent in it. Its full
+    /// capacity is not told; it is taken to be what this balancer's other upstreams are seen to bear, or a
+    /// part of what arrives where nothing is served yet. Where that is less than one ticket, as many of the
+    /// balancers as the share asks for may send one, by own chance drawn anew for each span: what is not used
+    /// is gone, so hundreds of lone tickets never come together.
+    fn cold_budget(&self, now: Micros, u: usize) -> (u64, f64) {
+        let (warming, upstream) = (&self.terms.warming, &self.upstreams[u]);
+        let age = now.saturating_sub(upstream.launched);
+        let grown = warming.starts_at
+            + (1.0 - warming.starts_at) * (age as f64 / warming.warm_after as f64).min(1.0);
+        let lived = (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING);
+        let arrived = warming.starts_at * self.seen.arrivals.read(now, LASTING);
+        let borne = self.seen.served.read(now, LASTING).max(arrived) / lived;
+        let each = borne / self.circle().0.min(self.warm).max(1) as f64;
+        let span = age / warming.span.max(1);
+        let chance = mixed(mixed(self.salt, upstream.hash), span) as f64 / u64::MAX as f64;
+        let budget = COLD_MARGIN * warming.multiple * grown * each * warming.span as f64;
+        (span, (budget + chance).floor())
+    }
+
     fn cold_room(&self, now: Micros, u: usize, work: f64) -> bool {
-        let warming = &self.terms.warming;
-        let age = now.saturating_sub(self.upstreams[u].launched) as f64 / warming.warm_after as f64;
-        let grown = warming.starts_at + (1.0 - warming.starts_at) * age.min(1.0);
-        let warm = (0..self.upstreams.len()).filter(|&o| self.upstreams[o].ready && !self.is_cold(now, o));
-        let borne: f64 = warm.clone().map(|o| self.upstreams[o].served.read(now, LASTING) / LASTING).sum();
-        let span = warming.span as f64;
-        let budget = COLD_MARGIN * warming.multiple * grown * borne / warm.count().max(1) as f64 * span;
-        let spent = self.upstreams[u].cold_spent.read(now, span);
-        spent < ALL_BUT_GONE || spent + work < budget
-    }
-
-    /// Parts the candidates into those to draw from and one due for a trial. Suspicion is relative to the
-    /// fleet and leaves a few in: when all seem ill, the cause lies elsewhere.
-    fn suspect(&mut self, now: Micros, ticket: &Ticket, open: Vec<usize>) -> (Vec<usize>, Option<usize>) {
+        let (span, budget) = self.cold_budget(now, u);
+        let (spent_in, spent) = self.upstreams[u].cold_spent;
+        let spent = if spent_in == span { spent } else { 0.0 };
+        spent + work <= budget + COLD_ROUNDING
+    }
+
+    /// The candidates to draw from, and one suspect due for a trial. They are the likely homes of the ticket's
+    /// key and the first of the own order that are open; where one is cold, full or suspected, the next takes
+    /// its place. Suspicion leaves a few in: when all seem ill, the cause lies elsewhere.
+    fn candidates(&mut self, now: Micros, ticket: &Ticket) -> (Vec<usize>, Option<usize>) {
         // What is out may be of any use case: the slowest one sets how long silence is usual.
         let expected = (0..self.paces.len()).map(|c| self.expected(c)).fold(0.0, f64::max);
         let failed = self.seen.failed.read(now, RECENT);
         let usual = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
-        for upstream in &mut self.upstreams {
-            let silent = upstream.silent_for(now) > SILENT * expected;
-            let failed = upstream.failed.read(now, RECENT);
-            let share = failed / (failed + upstream.succeeded.read(now, RECENT)).max(1e-9);
-            let enough = if upstream.suspected { FAILURES / 3.0 } else { FAILURES };
-            let suspected = silent || (failed > enough && share > FAILING + (1.0 - FAILING) * usual);
-            if suspected && !upstream.suspected {
-                upstream.trial_at = now + (TRIAL_WAIT * expected) as Micros;
-                upstream.failed_trials = 0;
+        let (most, _) = self.circle();
+        self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
+        let homes = self.homes(now, ticket.key);
+        let most = most + homes.len();
+        let (mut ready, mut out, mut met) = (Vec::new(), Vec::new(), Vec::new());
+        for place in 0..homes.len() + self.order.len() {
+            if ready.len() >= most {
+                break;
+            }
+            let u = if place < homes.len() { homes[place] } else { self.order[place - homes.len()] };
+            if place >= homes.len() && homes.contains(&u) {
+                continue;
             }
-            upstream.suspected = suspected;
+            if !self.permitted(now, ticket, u) || !self.has_room(now, u) {
+                continue;
+            }
+            if ticket.dispatches.iter().any(|d| d.upstream == u) {
+                met.push(u);
+            } else if self.suspect(now, u, expected, usual) {
+                out.push(u);
+            } else {
+                ready.push(u);
+            }
+        }
+        if ready.is_empty() && out.is_empty() {
+            return (met, None);
         }
-        let (out, ready): (Vec<usize>, Vec<usize>) = open.iter().partition(|&&u| self.upstreams[u].suspected);
         if out.len() > MOST_OUT * ready.len() {
-            return (open, None);
+            ready.extend(out);
+            return (ready, None);
         }
+        // Ties would fall to whoever comes first, again and again.
+        let turn = self.chance.generate_range(0..ready.len());
+        ready.rotate_left(turn);
         let again = self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible;
         let risked = again && ticket.dispatches.is_empty();
         let trial = out.into_iter().find(|&u| risked && self.upstreams[u].trial_at <= now);
@@ -559,6 +569,46 @@
         (ready, trial)
     }
 
+    /// Where a key's tickets likely went before: all balancers rank the ready upstreams alike by key, without
+    /// speaking. A key with a large part of the traffic has as large a part of the upstreams for homes.
+    fn homes(&self, now: Micros, key: Option<u64>) -> Vec<usize> {
+        let Some(key) = key.filter(|_| self.terms.keys_kept) else {
+            return Vec::new();
+        };
+        let rank = |&u: &usize| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
+        // A cold upstream has met no key, and its budget is not meant for all balancers.
+        let mut ranked: Vec<usize> = self.order.iter().copied().filter(|&u| !self.is_cold(now, u)).collect();
+        let count = KEY_RANKS + (self.key_share(now, key) * self.order.len() as f64) as usize;
+        if count < ranked.len() {
+            ranked.select_nth_unstable_by_key(count, rank);
+            ranked.truncate(count);
+        }
+        ranked.sort_by_key(rank);
+        ranked
+    }
+
+    /// The key's part of recent tickets, those before this one.
+    fn key_share(&self, now: Micros, key: u64) -> f64 {
+        let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, LASTING);
+        (met - 1.0).max(0.0) / self.seen.arrivals.read(now, LASTING).max(1.0)
+    }
+
+    /// Whether an upstream is silent or fails more than the fleet does.
+    fn suspect(&mut self, now: Micros, u: usize, expected: f64, usual: f64) -> bool {
+        let upstream = &mut self.upstreams[u];
+        let silent = upstream.silent_for(now) > SILENT * expected;
+        let failed = upstream.failed.read(now, RECENT);
+        let share = failed / (failed + upstream.succeeded.read(now, RECENT)).max(1e-9);
+        let enough = if upstream.suspected { FAILURES / 3.0 } else { FAILURES };
+        let suspected = silent || (failed > enough && share > FAILING + (1.0 - FAILING) * usual);
+        if suspected && !upstream.suspected {
+            upstream.trial_at = now + (TRIAL_WAIT * expected) as Micros;
+            upstream.failed_trials = 0;
+        }
+        upstream.suspected = suspected;
+        suspected
+    }
+
     /// How often follows the share of the recent further dispatches that succeeded.
     fn may_spend_more(&self, now: Micros) -> bool {
         let further = self.seen.further.read(now, LASTING);
@@ -598,7 +648,7 @@
         let kept = upstream.kept.read(now, RECENT) / self.watched(now);
         let present = upstream.latency(now).unwrap_or(0.0);
         let ratio = upstream.shortest.map_or(1.0, |shortest| (shortest / present).min(1.0));
-        (LEAST_EACH / self.terms.balancers.max(1) as f64).max(STRETCH * kept * ratio)
+        (LEAST_EACH / self.circle().1).max(STRETCH * kept * ratio)
     }
 
     fn has_room(&self, now: Micros, u: usize) -> bool {
@@ -610,11 +660,12 @@
     /// one's part of an upstream is less than a ticket, and one each would be too much.
     fn pool_has_room(&self, now: Micros) -> bool {
         let (mut held, mut limit) = (0.0, 0.0);
-        for (u, upstream) in self.upstreams.iter().enumerate().filter(|(_, up)| up.ready && !up.suspected) {
-            held += upstream.in_flight as f64;
+        let kept = self.order.iter().filter(|&&u| !self.upstreams[u].suspected).take(self.circle().0);
+        for &u in kept {
+            held += self.upstreams[u].in_flight as f64;
             limit += self.limit(now, u);
         }
-        held < f64::max(limit + (limit / self.terms.balancers.max(1) as f64).sqrt(), 2.0)
+        held < f64::max(limit + (limit / self.terms.balancers as f64).sqrt(), 2.0)
     }
 
     /// The moment after which an answer would likely come too late to be of use.
@@ -669,7 +720,7 @@
         let Some(admitted) = self.admitted.get_mut(account) else {
             return true;
         };
-        let usual = self.terms.allowances[account] / self.terms.balancers.max(1) as f64 * RECENT / SECOND;
+        let usual = self.terms.allowances[account] / self.terms.balancers as f64 * RECENT / SECOND;
         let within = admitted.read(now, RECENT) < usual + usual.sqrt();
         if within {
             admitted.add(now, RECENT, 1.0);
@@ -731,7 +782,7 @@
             pace.present.add(now, RECENT, took, ticket.work);
             pace.lasting.add(now, LASTING, took, ticket.work);
             self.seen.answers.add(now, LASTING, took, ticket.work);
-            upstream.served.add(now, LASTING, ticket.work);
+            self.seen.served.add(now, LASTING, ticket.work);
             let mean = upstream.lasting_answers.read().unwrap_or(answer);
             let shortest = upstream.shortest.get_or_insert(mean);
             *shortest += if mean < *shortest { QUICKER } else { SLOWER } * (mean - *shortest);
@@ -818,24 +869,6 @@
     }
 }
 
-impl Upstream {
-    fn release(&mut self, work: f64) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        let left = (self.work_in_flight - work).max(0.0);
-        self.work_in_flight = if self.in_flight == 0 { 0.0 } else { left };
-    }
-
-    fn silent_for(&self, now: Micros) -> f64 {
-        self.unanswered_since.map_or(0.0, |since| now.saturating_sub(since) as f64)
-    }
-
-    /// Smoothed answer time, or how long it has been silent if that is more: a hung upstream must not
-    /// look idle.
-    fn latency(&self, now: Micros) -> Option<f64> {
-        self.answers.read().map(|answers| answers.max(self.silent_for(now)))
-    }
-}
-
 /// How many of the ready may be drawn: together the balancers cover the fleet twice.
 fn top(ready: usize, balancers: usize) -> usize {
     (2 * ready).div_ceil(balancers.max(1)).max(2).min(ready)
@@ -869,6 +902,15 @@
     values.iter().map(log).collect()
 }
 
+/// The ring from a starting point on, in steps that never come round to it.
+fn scattered(ring: Vec<usize>, from: f64) -> Vec<usize> {
+    let mut left: Vec<Option<usize>> = ring.iter().map(|&u| Some(u)).collect();
+    let step = |n: usize| ((from + n as f64 * RING_STEP).fract() * ring.len() as f64) as usize;
+    let mut order: Vec<usize> = (0..2 * ring.len()).filter_map(|n| left[step(n)].take()).collect();
+    order.extend(left.into_iter().flatten());
+    order
+}
+
 /// A fixed mixing of two numbers.
 fn mixed(a: u64, b: u64) -> u64 {
     WyRand::new_seed(a.rotate_left(32) ^ b).generate()
--- /dev/null
+++ b/src/known.rs
@@ -0,0 +1,109 @@
+//! What a balancer keeps of upstreams, tickets and the fleet: types, no decisions.
+
+use std::rc::Rc;
+
+use crate::Micros;
+use crate::fading::{Fading, Mean};
+
+/// Features of an upstream for one ticket, each about 0 for an average one: constant, own latency, reported
+/// utilisation, own in flight, capacity, same zone, key likely met, reported queue.
+pub(crate) const FEATURES: usize = 8;
+
+/// One upstream as this balancer knows it. Answer times are per usual ticket.
+#[derive(Default)]
+pub(crate) struct Upstream {
+    pub(crate) id: Rc<str>,
+    pub(crate) hash: u64,
+    pub(crate) zone: u64,
+    pub(crate) cell: u64,
+    pub(crate) ready: bool,
+    pub(crate) weight: Mean,
+    pub(crate) launched: Micros,
+    pub(crate) in_flight: usize,
+    pub(crate) work_in_flight: f64,
+    pub(crate) answers: Mean,
+    pub(crate) lasting_answers: Mean,
+    pub(crate) shortest: Option<f64>,
+    /// Time that succeeded dispatches were in flight.
+    pub(crate) kept: Fading,
+    pub(crate) succeeded: Fading,
+    pub(crate) failed: Fading,
+    pub(crate) unanswered_since: Option<Micros>,
+    /// Turned a ticket away: nothing more until one has likely left, or refusals would come in storms.
+    pub(crate) full_until: Micros,
+    pub(crate) suspected: bool,
+    pub(crate) trial_at: Micros,
+    pub(crate) failed_trials: u32,
+    pub(crate) utilisation: Option<f64>,
+    pub(crate) queue: Option<f64>,
+    pub(crate) reported: Micros,
+    /// Work sent in the span of its cold life with this number.
+    pub(crate) cold_spent: (u64, f64),
+}
+
+/// What the mechanism saw when it drew: candidates by falling priority, and which was drawn.
+pub(crate) struct Scene {
+    pub(crate) rows: Vec<[f64; FEATURES]>,
+    pub(crate) drawn: usize,
+    pub(crate) chance: f64,
+}
+
+pub(crate) struct Dispatch {
+    pub(crate) upstream: usize,
+    pub(crate) sent: Micros,
+    pub(crate) out: bool,
+    pub(crate) may_have_run: bool,
+    pub(crate) scene: Option<Scene>,
+}
+
+pub(crate) struct Ticket {
+    pub(crate) id: Rc<str>,
+    pub(crate) use_case: usize,
+    pub(crate) key: Option<u64>,
+    pub(crate) promised: Micros,
+    pub(crate) hard_stop: Micros,
+    /// Work against a usual ticket of its use case.
+    pub(crate) work: f64,
+    pub(crate) within_share: bool,
+    pub(crate) streaming: bool,
+    pub(crate) dispatches: Vec<Dispatch>,
+}
+
+/// What is known of one use case.
+#[derive(Clone, Default)]
+pub(crate) struct Pace {
+    pub(crate) present: Mean,
+    pub(crate) lasting: Mean,
+    pub(crate) hint: Mean,
+}
+
+/// What is seen of the fleet and of the traffic as a whole.
+#[derive(Default)]
+pub(crate) struct Seen {
+    pub(crate) answers: Mean,
+    pub(crate) payoffs: Mean,
+    pub(crate) succeeded: Fading,
+    pub(crate) failed: Fading,
+    pub(crate) arrivals: Fading,
+    pub(crate) served: Fading,
+    pub(crate) further: Fading,
+    pub(crate) further_succeeded: Fading,
+}
+
+impl Upstream {
+    pub(crate) fn release(&mut self, work: f64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let left = (self.work_in_flight - work).max(0.0);
+        self.work_in_flight = if self.in_flight == 0 { 0.0 } else { left };
+    }
+
+    pub(crate) fn silent_for(&self, now: Micros) -> f64 {
+        self.unanswered_since.map_or(0.0, |since| now.saturating_sub(since) as f64)
+    }
+
+    /// Smoothed answer time, or how long it has been silent if that is more: a hung upstream must not
+    /// look idle.
+    pub(crate) fn latency(&self, now: Micros) -> Option<f64> {
+        self.answers.read().map(|answers| answers.max(self.silent_for(now)))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod decide;
 mod fading;
+mod known;
 
 pub use decide::Balancer;
 
@@ -87,6 +88,8 @@
 #[derive(Clone, Debug)]
 pub struct Terms {
     pub balancers: usize,
+    /// This balancer's number, counted from 0.
+    pub own_number: usize,
     pub zone: u64,
     /// Set where the list must be asked for: the longest a balancer may go without asking.
     pub ask_within: Option<Micros>,
