--- a/src/decide.rs
+++ b/src/decide.rs
@@ -871,7 +871,7 @@
 
 /// How many of the ready may be drawn: together the balancers cover the fleet twice.
 fn top(ready: usize, balancers: usize) -> usize {
-    (2 * ready).div_ceil(balancers.max(1)).max(2).min(ready)
+    ready
 }
 
 fn softplus(x: f64) -> f64 {
