--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -192,6 +192,7 @@
         balancer.list_entry(
             text(entry, "upstream")?,
             whole(entry, "site")?,
+            whole(entry, "generationHw")?,
             whole(entry, "group")?,
             match text(entry, "phase")? {
                 "IN" => true,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -55,6 +55,9 @@
 const RECENT: f64 = 2.0 * SECOND;
 const LASTING: f64 = 15.0 * SECOND;
 
+/// Answers from an upstream that tell of its present state.
+const HEARD_EACH: f64 = 4.0;
+
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
 const SILENT: f64 = 4.0;
 /// Failed share, of what the fleet's leaves, that makes an upstream failing, and the failures needed.
@@ -119,6 +122,8 @@
     /// All ready upstreams in this balancer's own order, the first of which it keeps to.
     order: Vec<usize>,
     keys: Vec<Fading>,
+    /// Answer times by machine type: what is heard of one tells of the others.
+    kinds: HashMap<u64, Mean>,
     tickets: HashMap<Rc<str>, Ticket>,
     held: Vec<Ticket>,
     alarms: HashMap<u64, Rc<str>>,
@@ -148,6 +153,7 @@
             upstreams: Vec::new(),
             by_id: HashMap::new(),
             order: Vec::new(),
+            kinds: HashMap::new(),
             keys: vec![Fading::default(); if terms.keys_kept { KEY_SUMS } else { 0 }],
             tickets: HashMap::new(),
             held: Vec::new(),
@@ -194,7 +200,17 @@
         self.upstreams.iter_mut().for_each(|upstream| upstream.ready &= !complete);
     }
 
-    pub fn list_entry(&mut self, id: &str, zone: u64, cell: u64, ready: bool, weight: f64, launched: Micros) {
+    #[allow(clippy::too_many_arguments)]
+    pub fn list_entry(
+        &mut self,
+        id: &str,
+        zone: u64,
+        kind: u64,
+        cell: u64,
+        ready: bool,
+        weight: f64,
+        launched: Micros,
+    ) {
         let new = self.upstreams.len();
         let at = *self.by_id.entry(Rc::from(id)).or_insert(new);
         if at == new {
@@ -202,7 +218,7 @@
             self.upstreams.push(Upstream { id: Rc::from(id), hash, ..Upstream::default() });
         }
         let upstream = &mut self.upstreams[at];
-        (upstream.zone, upstream.cell, upstream.ready) = (zone, cell, ready);
+        (upstream.zone, upstream.kind, upstream.cell, upstream.ready) = (zone, kind, cell, ready);
         if launched > upstream.launched && upstream.launched > 0 {
             // A restarted process has nothing to do with what was held against the old one.
             upstream.answers = Mean::default();
@@ -310,18 +326,38 @@
         let gather = |known: &dyn Fn(&Upstream) -> Option<f64>| -> Vec<f64> {
             relative(&ready.iter().map(|&u| known(&ups[u])).collect::<Vec<_>>())
         };
-        let latency = gather(&|up| up.latency(now));
+        let (heard, (_, sharers)) = (self.heard_within(now), self.circle());
+        // Few answers tell little: they pull what is usual for the machine type their way by their number.
+        let all = self.seen.answers.read();
+        let shrunk = |up: &Upstream, own: Option<f64>, count: f64| {
+            let usual = self.kinds.get(&up.kind).and_then(Mean::read).or(all);
+            match (own, usual) {
+                (Some(own), Some(usual)) => Some((count * own + HEARD_EACH * usual) / (count + HEARD_EACH)),
+                (own, usual) => own.or(usual),
+            }
+        };
+        let latency =
+            gather(&|up| shrunk(up, up.latency(now), up.answers.weight.read(now, heard)));
         let listed = self.terms.weights_listed;
         let capacity = gather(&|up| match listed {
             true => up.weight.read(),
             // Served rate per own request in flight is the inverse of the answer time.
-            false => up.lasting_answers.read().map(f64::recip),
+            false => shrunk(up, up.lasting_answers.read(), up.lasting_answers.weight.read(now, LASTING)).map(f64::recip),
         });
         // An old report speaks of a load that is gone.
-        let fresh = |u: usize| (-(now.saturating_sub(ups[u].reported) as f64) / SECOND).exp();
+        let fresh = |u: usize| (-(now.saturating_sub(ups[u].reported) as f64) / heard * 2.0).exp();
         let queue = gather(&|up| up.queue.map(|queue| queue + 1.0));
         let busy = gather(&|up| up.utilisation.map(|busy| busy + 0.1));
-        let in_flight = gather(&|up| Some(0.5 + up.work_in_flight));
+        // Own work in flight, and of what is reported the part that is the other balancers'.
+        let others = 1.0 - 1.0 / sharers;
+        let load: Vec<_> = ready
+            .iter()
+            .map(|&u| {
+                let reported = others * fresh(u) * ups[u].queue.unwrap_or(0.0);
+                Some(0.5 + ups[u].work_in_flight + reported)
+            })
+            .collect();
+        let in_flight = relative(&load);
         let mut met = vec![0.0; ready.len()];
         if let (Some(key), true) = (ticket.key, self.terms.keys_kept) {
             let mut ranked: Vec<usize> = (0..ready.len()).filter(|&at| !self.is_cold(now, ready[at])).collect();
@@ -595,10 +631,11 @@
 
     /// Whether an upstream is silent or fails more than the fleet does.
     fn suspect(&mut self, now: Micros, u: usize, expected: f64, usual: f64) -> bool {
+        let heard = self.heard_within(now);
         let upstream = &mut self.upstreams[u];
         let silent = upstream.silent_for(now) > SILENT * expected;
-        let failed = upstream.failed.read(now, RECENT);
-        let share = failed / (failed + upstream.succeeded.read(now, RECENT)).max(1e-9);
+        let failed = upstream.failed.read(now, heard);
+        let share = failed / (failed + upstream.succeeded.read(now, heard)).max(1e-9);
         let enough = if upstream.suspected { FAILURES / 3.0 } else { FAILURES };
         let suspected = silent || (failed > enough && share > FAILING + (1.0 - FAILING) * usual);
         if suspected && !upstream.suspected {
@@ -636,6 +673,14 @@
         self.tickets.insert(Rc::clone(&ticket.id), ticket);
     }
 
+    /// The horizon of what is heard of one upstream: where a balancer sees little, long enough for some
+    /// answers from each that it keeps to, or chance would pass for load.
+    fn heard_within(&self, now: Micros) -> f64 {
+        let lived = (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING);
+        let rate = self.seen.arrivals.read(now, LASTING) / lived;
+        (HEARD_EACH * self.circle().0 as f64 / rate.max(1e-9)).clamp(RECENT, LASTING)
+    }
+
     /// The span that sums over `RECENT` stand for. Just after a start they have not filled: read as if they
     /// had, they would make the fleet look idle and the queue endless.
     fn watched(&self, now: Micros) -> f64 {
@@ -749,6 +794,7 @@
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else {
             return;
         };
+        let heard = self.heard_within(now);
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
         let upstream = &mut self.upstreams[dispatch.upstream];
@@ -777,12 +823,13 @@
             if number > 0 {
                 self.seen.further_succeeded.add(now, LASTING, 1.0);
             }
-            upstream.succeeded.add(now, RECENT, 1.0);
+            upstream.succeeded.add(now, heard, 1.0);
             self.seen.succeeded.add(now, RECENT, 1.0);
             pace.present.add(now, RECENT, took, ticket.work);
             pace.lasting.add(now, LASTING, took, ticket.work);
             self.seen.answers.add(now, LASTING, took, ticket.work);
             self.seen.served.add(now, LASTING, ticket.work);
+            self.kinds.entry(upstream.kind).or_default().add(now, LASTING, answer, ticket.work);
             let mean = upstream.lasting_answers.read().unwrap_or(answer);
             let shortest = upstream.shortest.get_or_insert(mean);
             *shortest += if mean < *shortest { QUICKER } else { SLOWER } * (mean - *shortest);
@@ -792,12 +839,12 @@
             if ending.proves_not_run() {
                 upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
             }
-            upstream.failed.add(now, RECENT, 1.0);
+            upstream.failed.add(now, heard, 1.0);
             self.seen.failed.add(now, RECENT, 1.0);
             // A fast failure must not make an upstream look quick.
             answer = answer.max(FAILURE_LATENCY * all);
         }
-        upstream.answers.add(now, RECENT, answer, ticket.work);
+        upstream.answers.add(now, heard, answer, ticket.work);
         upstream.lasting_answers.add(now, LASTING, answer, ticket.work);
         if let Some(scene) = dispatch.scene.take() {
             self.samples.push((scene, payoff));
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -67,7 +67,7 @@
     };
     let mut balancer = Balancer::start(diary.clone(), 7, terms, START_AT);
     for u in 0..upstreams {
-        balancer.list_entry(&format!("u{u}"), 0, u as u64 % 2, true, 1.0, 0);
+        balancer.list_entry(&format!("u{u}"), 0, 0, u as u64 % 2, true, 1.0, 0);
     }
     balancer.list_ends(START_AT);
     (balancer, diary)
@@ -187,7 +187,7 @@
 fn nothing_goes_to_what_drains_or_is_gone(#[case] complete: bool, #[case] ready: bool) {
     let (mut balancer, _) = balancer(Effect::Redoable, 2);
     balancer.list_begins(complete);
-    balancer.list_entry(if complete { "u0" } else { "u1" }, 0, 0, ready, 1.0, 0);
+    balancer.list_entry(if complete { "u0" } else { "u1" }, 0, 0, 0, ready, 1.0, 0);
     assert!(!balancer.permitted(START_AT, &ticket(&[], false), 1));
     assert!(balancer.permitted(START_AT, &ticket(&[], false), 0));
 }
@@ -195,7 +195,7 @@
 #[rstest]
 fn a_cold_upstream_gets_little_even_when_alone() {
     let (mut balancer, diary) = balancer(Effect::Redoable, 0);
-    balancer.list_entry("cold", 0, 0, true, 1.0, START_AT);
+    balancer.list_entry("cold", 0, 0, 0, true, 1.0, START_AT);
     balancer.list_ends(START_AT);
     for n in 0..200 {
         balancer.place(START_AT + n * 10 * MS, &mut ticket(&[], false));
--- a/src/known.rs
+++ b/src/known.rs
@@ -15,6 +15,8 @@
     pub(crate) id: Rc<str>,
     pub(crate) hash: u64,
     pub(crate) zone: u64,
+    /// Machine type.
+    pub(crate) kind: u64,
     pub(crate) cell: u64,
     pub(crate) ready: bool,
     pub(crate) weight: Mean,
