--- a/src/decide.rs
+++ b/src/decide.rs
@@ -38,7 +38,7 @@
 /// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
 /// enough to choose among, few enough to be heard often.
 const CIRCLE_SHARERS: usize = 4;
-const CIRCLE_LEAST: usize = 12;
+const CIRCLE_LEAST: usize = 8;
 const NEAR_FOR_ONE_FAR: usize = 2;
 /// Irrational parts of a ring: starts and steps spread evenly whatever the numbers.
 const RING_START: f64 = 0.618_033_988_749_895;
@@ -87,6 +87,14 @@
 const LEAST_EACH: f64 = 2.0;
 /// Where a limit counts as one ticket more: above a half, a limit of one could never grow.
 const ROUNDING: f64 = 0.4;
+/// Mean part of the promised time that answers may take before fewer tickets are let through; how quickly
+/// each answer moves the share, what a refusal counts, and the least share.
+const AT_EASE: f64 = 0.4;
+const THINNING: f64 = 0.05;
+const MOST_PRESSURE: f64 = 3.0;
+const LEAST_THROUGH: f64 = 0.1;
+const START_THROUGH: f64 = 0.5;
+const HEARD_PRIOR: f64 = 0.5;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
 /// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
@@ -134,6 +142,8 @@
     warm: usize,
     /// Own chance that stays for the whole life.
     salt: u64,
+    /// Share of tickets let through.
+    let_through: f64,
     weights: [f64; FEATURES],
     samples: Vec<(Scene, f64)>,
     updated: Micros,
@@ -161,6 +171,7 @@
             last_alarm: PUMP_ALARM,
             pump_set: false,
             failed_follows: 0,
+            let_through: START_THROUGH,
             weights: START,
             samples: Vec::new(),
             updated: now,
@@ -291,6 +302,14 @@
         let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
         let ticket =
             Ticket { id, use_case, key, promised, hard_stop, work, within_share, streaming, dispatches };
+        let heard = self.seen.pressure.weight.read(now, RECENT);
+        let pressure = self.seen.pressure.total.read(now, RECENT) / (heard + HEARD_PRIOR);
+        self.let_through = (self.let_through * (1.0 + THINNING * (1.0 - pressure))).clamp(LEAST_THROUGH, 1.0);
+        // Beyond the share gives way first.
+        let part = if within_share { self.let_through } else { 2.0 * self.let_through - 1.0 };
+        if self.chance.generate::<f64>() > part {
+            return self.give_up(now, ticket);
+        }
         self.admit(now, ticket);
     }
 
@@ -626,7 +645,7 @@
     /// The key's part of recent tickets, those before this one.
     fn key_share(&self, now: Micros, key: u64) -> f64 {
         let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, LASTING);
-        (met - 1.0).max(0.0) / self.seen.arrivals.read(now, LASTING).max(1.0)
+        (met - 0.5) / (self.seen.arrivals.read(now, LASTING) + 10.0)
     }
 
     /// Whether an upstream is silent or fails more than the fleet does.
@@ -806,6 +825,12 @@
             }
             return;
         }
+        let promised = self.terms.use_cases[ticket.use_case].promised_time as f64;
+        let pressure = match ending {
+            Ending::TurnedAway => MOST_PRESSURE,
+            _ => (took as f64 / promised / AT_EASE).min(MOST_PRESSURE),
+        };
+        self.seen.pressure.add(now, RECENT, pressure, 1.0);
         // Use cases are put on one scale by how their usual answer times compare.
         let pace = &mut self.paces[ticket.use_case];
         let took = took.max(1) as f64 / ticket.work;
--- a/src/known.rs
+++ b/src/known.rs
@@ -84,6 +84,7 @@
 pub(crate) struct Seen {
     pub(crate) answers: Mean,
     pub(crate) payoffs: Mean,
+    pub(crate) pressure: Mean,
     pub(crate) succeeded: Fading,
     pub(crate) failed: Fading,
     pub(crate) arrivals: Fading,
