--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,7 @@
 const WIDEST: f64 = 3.0;
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: usize = 3;
+const KEY_SPREAD: f64 = 3.0;
 /// Sums that all keys share out among them: enough to tell the popular ones.
 const KEY_SUMS: usize = 1024;
 /// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
@@ -381,7 +382,7 @@
         if let (Some(key), true) = (ticket.key, self.terms.keys_kept) {
             let mut ranked: Vec<usize> = (0..ready.len()).filter(|&at| !self.is_cold(now, ready[at])).collect();
             ranked.sort_by_key(|&place| std::cmp::Reverse(mixed(key, ups[ready[place]].hash)));
-            let full = self.key_share(now, key) * self.order.len() as f64;
+            let full = self.fills(now, key);
             let ranks = ranked.iter().zip(1..KEY_RANKS + full as usize + 1);
             ranks.for_each(|(&place, rank)| met[place] = 1.0 / (rank as f64 - full).max(1.0));
         }
@@ -633,7 +634,7 @@
         let rank = |&u: &usize| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
         // A cold upstream has met no key, and its budget is not meant for all balancers.
         let mut ranked: Vec<usize> = self.order.iter().copied().filter(|&u| !self.is_cold(now, u)).collect();
-        let count = KEY_RANKS + (self.key_share(now, key) * self.order.len() as f64) as usize;
+        let count = KEY_RANKS + self.fills(now, key) as usize;
         if count < ranked.len() {
             ranked.select_nth_unstable_by_key(count, rank);
             ranked.truncate(count);
@@ -642,10 +643,11 @@
         ranked
     }
 
-    /// The key's part of recent tickets, those before this one.
-    fn key_share(&self, now: Micros, key: u64) -> f64 {
+    /// How many upstreams a key's tickets would fill, by its part of recent tickets.
+    fn fills(&self, now: Micros, key: u64) -> f64 {
         let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, LASTING);
-        (met - 0.5) / (self.seen.arrivals.read(now, LASTING) + 10.0)
+        let share = (met - 0.5) / (self.seen.arrivals.read(now, LASTING) + 10.0);
+        KEY_SPREAD * share * self.order.len() as f64
     }
 
     /// Whether an upstream is silent or fails more than the fleet does.
