--- a/src/decide.rs
+++ b/src/decide.rs
@@ -91,7 +91,7 @@
 /// Mean part of the promised time that answers may take before fewer tickets are let through; how quickly
 /// each answer moves the share, what a refusal counts, and the least share.
 const AT_EASE: f64 = 0.4;
-const THINNING: f64 = 0.05;
+const THINNING: f64 = 0.15;
 const MOST_PRESSURE: f64 = 3.0;
 const LEAST_THROUGH: f64 = 0.1;
 const START_THROUGH: f64 = 0.5;
@@ -304,7 +304,8 @@
         let ticket =
             Ticket { id, use_case, key, promised, hard_stop, work, within_share, streaming, dispatches };
         let heard = self.seen.pressure.weight.read(now, RECENT);
-        let pressure = self.seen.pressure.total.read(now, RECENT) / (heard + HEARD_PRIOR);
+        let total = self.seen.pressure.total.read(now, RECENT);
+        let pressure = total / (heard + HEARD_PRIOR);
         self.let_through = (self.let_through * (1.0 + THINNING * (1.0 - pressure))).clamp(LEAST_THROUGH, 1.0);
         // Beyond the share gives way first.
         let part = if within_share { self.let_through } else { 2.0 * self.let_through - 1.0 };
@@ -828,11 +829,12 @@
             return;
         }
         let promised = self.terms.use_cases[ticket.use_case].promised_time as f64;
-        let pressure = match ending {
-            Ending::TurnedAway => MOST_PRESSURE,
-            _ => (took as f64 / promised / AT_EASE).min(MOST_PRESSURE),
-        };
-        self.seen.pressure.add(now, RECENT, pressure, 1.0);
+        // A hung or broken upstream says nothing of the others' load.
+        if matches!(ending, Ending::Succeeded | Ending::TurnedAway) {
+            let late = took as f64 / promised / AT_EASE;
+            let pressure = if ending == Ending::Succeeded { late.min(MOST_PRESSURE) } else { MOST_PRESSURE };
+            self.seen.pressure.add(now, RECENT, pressure, 1.0);
+        }
         // Use cases are put on one scale by how their usual answer times compare.
         let pace = &mut self.paces[ticket.use_case];
         let took = took.max(1) as f64 / ticket.work;
