--- a/src/decide.rs
+++ b/src/decide.rs
@@ -90,12 +90,12 @@
 const ROUNDING: f64 = 0.4;
 /// Mean part of the promised time that answers may take before fewer tickets are let through; how quickly
 /// each answer moves the share, what a refusal counts, and the least share.
-const AT_EASE: f64 = 0.4;
+const AT_EASE: f64 = 0.35;
 const THINNING: f64 = 0.15;
 const MOST_PRESSURE: f64 = 3.0;
 const LEAST_THROUGH: f64 = 0.1;
 const START_THROUGH: f64 = 0.5;
-const HEARD_PRIOR: f64 = 0.5;
+const HEARD_PRIOR: f64 = 2.0;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
 /// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
@@ -305,7 +305,7 @@
             Ticket { id, use_case, key, promised, hard_stop, work, within_share, streaming, dispatches };
         let heard = self.seen.pressure.weight.read(now, RECENT);
         let total = self.seen.pressure.total.read(now, RECENT);
-        let pressure = total / (heard + HEARD_PRIOR);
+        let pressure = (total + HEARD_PRIOR) / (heard + HEARD_PRIOR);
         self.let_through = (self.let_through * (1.0 + THINNING * (1.0 - pressure))).clamp(LEAST_THROUGH, 1.0);
         // Beyond the share gives way first.
         let part = if within_share { self.let_through } else { 2.0 * self.let_through - 1.0 };
