--- a/src/decide.rs
+++ b/src/decide.rs
@@ -95,7 +95,7 @@
 const MOST_PRESSURE: f64 = 3.0;
 const LEAST_THROUGH: f64 = 0.1;
 const START_THROUGH: f64 = 0.5;
-const HEARD_PRIOR: f64 = 2.0;
+const HEARD_PRIOR: f64 = 0.5;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
 /// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
