--- a/src/decide.rs
+++ b/src/decide.rs
@@ -59,6 +59,9 @@
 /// Answers from an upstream that tell of its present state.
 const HEARD_EACH: f64 = 4.0;
 
+/// Answers that what is usual for a machine type counts for.
+const KIND_ANSWERS: f64 = 1.0;
+
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
 const SILENT: f64 = 4.0;
 /// Failed share, of what the fleet's leaves, that makes an upstream failing, and the failures needed.
@@ -96,6 +99,8 @@
 const LEAST_THROUGH: f64 = 0.1;
 const START_THROUGH: f64 = 0.5;
 const HEARD_PRIOR: f64 = 0.5;
+/// Tickets within a promised time that an in-flight limit can tell apart.
+const FEW_AT_ONCE: f64 = 10.0;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
 /// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
@@ -307,8 +312,12 @@
         let total = self.seen.pressure.total.read(now, RECENT);
         let pressure = (total + HEARD_PRIOR) / (heard + HEARD_PRIOR);
         self.let_through = (self.let_through * (1.0 + THINNING * (1.0 - pressure))).clamp(LEAST_THROUGH, 1.0);
+        // Where many tickets come within their promised time, the in-flight limit alone is fine enough.
+        let lived = (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING);
+        let at_once = self.seen.arrivals.read(now, LASTING) / lived * (promised - now) as f64;
+        let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + (at_once / FEW_AT_ONCE).powi(2));
         // Beyond the share gives way first.
-        let part = if within_share { self.let_through } else { 2.0 * self.let_through - 1.0 };
+        let part = if within_share { let_through } else { 2.0 * let_through - 1.0 };
         if self.chance.generate::<f64>() > part {
             return self.give_up(now, ticket);
         }
@@ -353,7 +362,7 @@
         let shrunk = |up: &Upstream, own: Option<f64>, count: f64| {
             let usual = self.kinds.get(&up.kind).and_then(Mean::read).or(all);
             match (own, usual) {
-                (Some(own), Some(usual)) => Some((count * own + HEARD_EACH * usual) / (count + HEARD_EACH)),
+                (Some(own), Some(usual)) => Some((count * own + KIND_ANSWERS * usual) / (count + KIND_ANSWERS)),
                 (own, usual) => own.or(usual),
             }
         };
