--- a/src/decide.rs
+++ b/src/decide.rs
@@ -100,7 +100,7 @@
 const START_THROUGH: f64 = 0.5;
 const HEARD_PRIOR: f64 = 0.5;
 /// Tickets within a promised time that an in-flight limit can tell apart.
-const FEW_AT_ONCE: f64 = 10.0;
+const FEW_AT_ONCE: f64 = 20.0;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
 /// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
@@ -315,7 +315,7 @@
         // Where many tickets come within their promised time, the in-flight limit alone is fine enough.
         let lived = (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING);
         let at_once = self.seen.arrivals.read(now, LASTING) / lived * (promised - now) as f64;
-        let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + (at_once / FEW_AT_ONCE).powi(2));
+        let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + (at_once / FEW_AT_ONCE).powi(3));
         // Beyond the share gives way first.
         let part = if within_share { let_through } else { 2.0 * let_through - 1.0 };
         if self.chance.generate::<f64>() > part {
