--- a/src/decide.rs
+++ b/src/decide.rs
@@ -93,8 +93,8 @@
 const ROUNDING: f64 = 0.4;
 /// Mean part of the promised time that answers may take before fewer tickets are let through; how quickly
 /// each answer moves the share, what a refusal counts, and the least share.
-const AT_EASE: f64 = 0.35;
-const THINNING: f64 = 0.15;
+const AT_EASE: f64 = 0.4;
+const THINNING: f64 = 0.3;
 const MOST_PRESSURE: f64 = 3.0;
 const LEAST_THROUGH: f64 = 0.1;
 const START_THROUGH: f64 = 0.5;
@@ -308,8 +308,8 @@
         let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
         let ticket =
             Ticket { id, use_case, key, promised, hard_stop, work, within_share, streaming, dispatches };
-        let heard = self.seen.pressure.weight.read(now, RECENT);
-        let total = self.seen.pressure.total.read(now, RECENT);
+        let heard = self.seen.pressure.weight.read(now, SECOND);
+        let total = self.seen.pressure.total.read(now, SECOND);
         let pressure = (total + HEARD_PRIOR) / (heard + HEARD_PRIOR);
         self.let_through = (self.let_through * (1.0 + THINNING * (1.0 - pressure))).clamp(LEAST_THROUGH, 1.0);
         // Where many tickets come within their promised time, the in-flight limit alone is fine enough.
@@ -842,7 +842,7 @@
         if matches!(ending, Ending::Succeeded | Ending::TurnedAway) {
             let late = took as f64 / promised / AT_EASE;
             let pressure = if ending == Ending::Succeeded { late.min(MOST_PRESSURE) } else { MOST_PRESSURE };
-            self.seen.pressure.add(now, RECENT, pressure, 1.0);
+            self.seen.pressure.add(now, SECOND, pressure, 1.0);
         }
         // Use cases are put on one scale by how their usual answer times compare.
         let pace = &mut self.paces[ticket.use_case];
