--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,7 +25,7 @@
 
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents; own
 /// in-flight is the freshest sign of load and weighs most.
-const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 1.0, 7.0, -0.3];
+const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, 7.0, -0.3];
 /// A weight keeps this part of its start value and grows no further than its inverse allows: none changes
 /// sign, vanishes or runs off.
 const FLOOR: f64 = 0.4;
