--- a/src/decide.rs
+++ b/src/decide.rs
@@ -39,7 +39,7 @@
 /// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
 /// enough to choose among, few enough to be heard often.
 const CIRCLE_SHARERS: usize = 4;
-const CIRCLE_LEAST: usize = 16;
+const CIRCLE_LEAST: usize = 2;
 const NEAR_FOR_ONE_FAR: usize = 2;
 /// Irrational parts of a ring: starts and steps spread evenly whatever the numbers.
 const RING_START: f64 = 0.618_033_988_749_895;
