--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,6 +34,10 @@
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: usize = 3;
 const KEY_SPREAD: f64 = 3.0;
+/// Logarithm of how much quicker homes answer that makes half the tickets look for them, and the least share
+/// that does or does not, to learn more.
+const HOMES_GAIN: f64 = 0.3;
+const HOMES_TRIED: f64 = 0.05;
 /// Sums that all keys share out among them: enough to tell the popular ones.
 const KEY_SUMS: usize = 1024;
 /// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
@@ -306,8 +310,19 @@
         });
         let within_share = self.within_share(now, account);
         let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
-        let ticket =
-            Ticket { id, use_case, key, promised, hard_stop, work, within_share, streaming, dispatches };
+        let homes = if self.homes_pay() { self.homes(now, key) } else { Vec::new() };
+        let ticket = Ticket {
+            id,
+            use_case,
+            key,
+            homes,
+            promised,
+            hard_stop,
+            work,
+            within_share,
+            streaming,
+            dispatches,
+        };
         let heard = self.seen.pressure.weight.read(now, SECOND);
         let total = self.seen.pressure.total.read(now, SECOND);
         let pressure = (total + HEARD_PRIOR) / (heard + HEARD_PRIOR);
@@ -590,7 +605,7 @@
         let usual = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
         let (most, _) = self.circle();
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
-        let homes = self.homes(now, ticket.key);
+        let homes = &ticket.homes;
         let most = most + homes.len();
         let (mut ready, mut out, mut met) = (Vec::new(), Vec::new(), Vec::new());
         for place in 0..homes.len() + self.order.len() {
@@ -635,6 +650,18 @@
         (ready, trial)
     }
 
+    /// Whether a ticket looks beyond the own circle for the homes of its key: as often as they answer quicker
+    /// than the circle does. They save the upstreams work, but are shared by all balancers and so known to
+    /// none, which costs more where little is saved.
+    fn homes_pay(&mut self) -> bool {
+        let seen = (self.seen.at_home.read(), self.seen.elsewhere.read());
+        let gain = match seen {
+            (Some(home), Some(elsewhere)) => (elsewhere / home).ln(),
+            _ => HOMES_GAIN,
+        };
+        self.chance.generate::<f64>() < (0.5 + (gain - HOMES_GAIN) / HOMES_GAIN).clamp(HOMES_TRIED, 1.0 - HOMES_TRIED)
+    }
+
     /// Where a key's tickets likely went before: all balancers rank the ready upstreams alike by key, without
     /// speaking. A key with a large part of the traffic has as large a part of the upstreams for homes.
     fn homes(&self, now: Micros, key: Option<u64>) -> Vec<usize> {
@@ -882,6 +909,11 @@
             // A fast failure must not make an upstream look quick.
             answer = answer.max(FAILURE_LATENCY * all);
         }
+        match (ticket.key, ticket.homes.contains(&dispatch.upstream)) {
+            (Some(_), true) => self.seen.at_home.add(now, LASTING, answer, 1.0),
+            (Some(_), false) if ticket.homes.is_empty() => self.seen.elsewhere.add(now, LASTING, answer, 1.0),
+            _ => {}
+        }
         upstream.answers.add(now, heard, answer, ticket.work);
         upstream.lasting_answers.add(now, LASTING, answer, ticket.work);
         if let Some(scene) = dispatch.scene.take() {
--- a/src/known.rs
+++ b/src/known.rs
@@ -62,6 +62,8 @@
     pub(crate) id: Rc<str>,
     pub(crate) use_case: usize,
     pub(crate) key: Option<u64>,
+    /// Likely homes of its key that it may go to beside the own circle.
+    pub(crate) homes: Vec<usize>,
     pub(crate) promised: Micros,
     pub(crate) hard_stop: Micros,
     /// Work against a usual ticket of its use case.
@@ -84,6 +86,9 @@
 pub(crate) struct Seen {
     pub(crate) answers: Mean,
     pub(crate) payoffs: Mean,
+    /// Answer times at the homes of keys and, where none were looked for, in the circle.
+    pub(crate) at_home: Mean,
+    pub(crate) elsewhere: Mean,
     pub(crate) pressure: Mean,
     pub(crate) succeeded: Fading,
     pub(crate) failed: Fading,
