--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,10 +34,11 @@
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: usize = 3;
 const KEY_SPREAD: f64 = 3.0;
-/// Logarithm of how much quicker homes answer that makes half the tickets look for them, and the least share
-/// that does or does not, to learn more.
-const HOMES_GAIN: f64 = 0.3;
-const HOMES_TRIED: f64 = 0.05;
+/// Logarithm of how much less homes may pay than the circle for half the tickets to look for them still, the
+/// least share that does or does not, to learn more, and how long what was learned lasts.
+const HOMES_LOSS: f64 = 0.1;
+const HOMES_TRIED: f64 = 0.07;
+const HOMES_LASTING: f64 = 60.0 * SECOND;
 /// Sums that all keys share out among them: enough to tell the popular ones.
 const KEY_SUMS: usize = 1024;
 /// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
@@ -650,16 +651,13 @@
         (ready, trial)
     }
 
-    /// Whether a ticket looks beyond the own circle for the homes of its key: as often as they answer quicker
-    /// than the circle does. They save the upstreams work, but are shared by all balancers and so known to
-    /// none, which costs more where little is saved.
+    /// Whether a ticket looks beyond the own circle for the homes of its key. They save the upstreams work,
+    /// but are shared by all balancers and known to none, so they are left where they answer clearly slower.
     fn homes_pay(&mut self) -> bool {
-        let seen = (self.seen.at_home.read(), self.seen.elsewhere.read());
-        let gain = match seen {
-            (Some(home), Some(elsewhere)) => (elsewhere / home).ln(),
-            _ => HOMES_GAIN,
-        };
-        self.chance.generate::<f64>() < (0.5 + (gain - HOMES_GAIN) / HOMES_GAIN).clamp(HOMES_TRIED, 1.0 - HOMES_TRIED)
+        let (home, elsewhere) = (self.seen.at_home.read(), self.seen.elsewhere.read());
+        let gain = home.zip(elsewhere).map_or(0.0, |(home, elsewhere)| (home / elsewhere).ln());
+        let part = 0.5 + (gain + HOMES_LOSS) / (2.0 * HOMES_LOSS);
+        self.chance.generate::<f64>() < part.clamp(HOMES_TRIED, 1.0 - HOMES_TRIED)
     }
 
     /// Where a key's tickets likely went before: all balancers rank the ready upstreams alike by key, without
@@ -900,6 +898,11 @@
             *shortest += if mean < *shortest { QUICKER } else { SLOWER } * (mean - *shortest);
             upstream.kept.add(now, RECENT, took * ticket.work);
             payoff = (all / answer).min(WIDEST);
+            match (ticket.key, ticket.homes.contains(&dispatch.upstream)) {
+                (Some(_), true) => self.seen.at_home.add(now, HOMES_LASTING, payoff, 1.0),
+                (Some(_), false) if ticket.homes.is_empty() => self.seen.elsewhere.add(now, HOMES_LASTING, payoff, 1.0),
+                _ => {}
+            }
         } else {
             if ending.proves_not_run() {
                 upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
@@ -909,11 +912,6 @@
             // A fast failure must not make an upstream look quick.
             answer = answer.max(FAILURE_LATENCY * all);
         }
-        match (ticket.key, ticket.homes.contains(&dispatch.upstream)) {
-            (Some(_), true) => self.seen.at_home.add(now, LASTING, answer, 1.0),
-            (Some(_), false) if ticket.homes.is_empty() => self.seen.elsewhere.add(now, LASTING, answer, 1.0),
-            _ => {}
-        }
         upstream.answers.add(now, heard, answer, ticket.work);
         upstream.lasting_answers.add(now, LASTING, answer, ticket.work);
         if let Some(scene) = dispatch.scene.take() {
