--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,8 +34,14 @@
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: usize = 3;
 const KEY_SPREAD: f64 = 3.0;
-/// Upstreams among which a balancer looks for the homes of a key.
-const HOMES_AMONG: usize = 10;
+/// Logarithm of how much more homes must pay than the circle for half the tickets to look for them, what they
+/// are taken to pay at the start and for how many outcomes that counts; the least share that does or does not
+/// look for them, to learn more, and how long what was learned lasts.
+const HOMES_GAIN: f64 = 0.15;
+const HOMES_START: f64 = 1.4;
+const HOMES_DOUBT: f64 = 4.0;
+const HOMES_TRIED: f64 = 0.07;
+const HOMES_LASTING: f64 = 60.0 * SECOND;
 /// Sums that all keys share out among them: enough to tell the popular ones.
 const KEY_SUMS: usize = 1024;
 /// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
@@ -137,8 +143,6 @@
     by_id: HashMap<Rc<str>, usize>,
     /// All ready upstreams in this balancer's own order, the first of which it keeps to.
     order: Vec<usize>,
-    /// Upstreams next to each other on the common ring, among which it looks for the homes of keys.
-    window: Vec<usize>,
     keys: Vec<Fading>,
     /// Answer times by machine type: what is heard of one tells of the others.
     kinds: HashMap<u64, Mean>,
@@ -173,7 +177,6 @@
             upstreams: Vec::new(),
             by_id: HashMap::new(),
             order: Vec::new(),
-            window: Vec::new(),
             kinds: HashMap::new(),
             keys: vec![Fading::default(); if terms.keys_kept { KEY_SUMS } else { 0 }],
             tickets: HashMap::new(),
@@ -269,8 +272,6 @@
             return;
         }
         ring.sort_by_key(|&u| (self.upstreams[u].hash, u));
-        let from = ((self.terms.own_number as f64 * RING_START).fract() * ring.len() as f64) as usize;
-        self.window = ring.iter().cycle().skip(from).take(HOMES_AMONG.min(ring.len())).copied().collect();
         let (near, far): (Vec<_>, Vec<_>) =
             ring.into_iter().partition(|&u| self.upstreams[u].zone == self.terms.zone);
         let own = self.terms.own_number as f64 * RING_START;
@@ -313,7 +314,7 @@
         });
         let within_share = self.within_share(now, account);
         let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
-        let homes = self.homes(now, key);
+        let homes = if self.homes_pay() { self.homes(now, key) } else { Vec::new() };
         let ticket = Ticket {
             id,
             use_case,
@@ -653,6 +654,18 @@
         (ready, trial)
     }
 
+    /// Whether a ticket looks beyond the own circle for the homes of its key. They save the upstreams work,
+    /// but are shared by all balancers and known to none: they are left where they do not pay clearly more.
+    /// Few outcomes count little against the start, which has them pay.
+    fn homes_pay(&mut self) -> bool {
+        let paid = |mean: &Mean, first: f64| {
+            (mean.total.sum + HOMES_DOUBT * first) / (mean.weight.sum + HOMES_DOUBT)
+        };
+        let gain = (paid(&self.seen.at_home, HOMES_START) / paid(&self.seen.elsewhere, 1.0)).ln();
+        let part = 0.5 + (gain - HOMES_GAIN) / HOMES_GAIN / 2.0;
+        self.chance.generate::<f64>() < part.clamp(HOMES_TRIED, 1.0 - HOMES_TRIED)
+    }
+
     /// Where a key's tickets likely went before: all balancers rank the ready upstreams alike by key, without
     /// speaking. A key with a large part of the traffic has as large a part of the upstreams for homes.
     fn homes(&self, now: Micros, key: Option<u64>) -> Vec<usize> {
@@ -661,7 +674,7 @@
         };
         let rank = |&u: &usize| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
         // A cold upstream has met no key, and its budget is not meant for all balancers.
-        let mut ranked: Vec<usize> = self.window.iter().copied().filter(|&u| !self.is_cold(now, u)).collect();
+        let mut ranked: Vec<usize> = self.order.iter().copied().filter(|&u| !self.is_cold(now, u)).collect();
         let count = KEY_RANKS + self.fills(now, key) as usize;
         if count < ranked.len() {
             ranked.select_nth_unstable_by_key(count, rank);
@@ -675,7 +688,7 @@
     fn fills(&self, now: Micros, key: u64) -> f64 {
         let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, LASTING);
         let share = (met - 0.5) / (self.seen.arrivals.read(now, LASTING) + 10.0);
-        KEY_SPREAD * share * self.window.len() as f64
+        KEY_SPREAD * share * self.order.len() as f64
     }
 
     /// Whether an upstream is silent or fails more than the fleet does.
@@ -891,6 +904,11 @@
             *shortest += if mean < *shortest { QUICKER } else { SLOWER } * (mean - *shortest);
             upstream.kept.add(now, RECENT, took * ticket.work);
             payoff = (all / answer).min(WIDEST);
+            match (ticket.key, ticket.homes.contains(&dispatch.upstream)) {
+                (Some(_), true) => self.seen.at_home.add(now, HOMES_LASTING, payoff, 1.0),
+                (Some(_), false) if ticket.homes.is_empty() => self.seen.elsewhere.add(now, HOMES_LASTING, payoff, 1.0),
+                _ => {}
+            }
         } else {
             if ending.proves_not_run() {
                 upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
--- a/src/known.rs
+++ b/src/known.rs
@@ -86,6 +86,9 @@
 pub(crate) struct Seen {
     pub(crate) answers: Mean,
     pub(crate) payoffs: Mean,
+    /// Answer times at the homes of keys and, where none were looked for, in the circle.
+    pub(crate) at_home: Mean,
+    pub(crate) elsewhere: Mean,
     pub(crate) pressure: Mean,
     pub(crate) succeeded: Fading,
     pub(crate) failed: Fading,
