--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,12 +34,12 @@
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: usize = 3;
 const KEY_SPREAD: f64 = 3.0;
-/// Logarithm of how much more homes must pay than the circle for half the tickets to look for them, what they
+/// Logarithm of how much less homes may pay than the circle for half the tickets to look for them, what they
 /// are taken to pay at the start and for how many outcomes that counts; the least share that does or does not
 /// look for them, to learn more, and how long what was learned lasts.
-const HOMES_GAIN: f64 = 0.15;
+const HOMES_LOSS: f64 = 0.04;
 const HOMES_START: f64 = 1.4;
-const HOMES_DOUBT: f64 = 4.0;
+const HOMES_DOUBT: f64 = 8.0;
 const HOMES_TRIED: f64 = 0.07;
 const HOMES_LASTING: f64 = 60.0 * SECOND;
 /// Sums that all keys share out among them: enough to tell the popular ones.
@@ -662,7 +662,7 @@
             (mean.total.sum + HOMES_DOUBT * first) / (mean.weight.sum + HOMES_DOUBT)
         };
         let gain = (paid(&self.seen.at_home, HOMES_START) / paid(&self.seen.elsewhere, 1.0)).ln();
-        let part = 0.5 + (gain - HOMES_GAIN) / HOMES_GAIN / 2.0;
+        let part = 0.5 + (gain + HOMES_LOSS) / (4.0 * HOMES_LOSS);
         self.chance.generate::<f64>() < part.clamp(HOMES_TRIED, 1.0 - HOMES_TRIED)
     }
 
