--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,15 +33,15 @@
 const WIDEST: f64 = 3.0;
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: usize = 3;
-const KEY_SPREAD: f64 = 3.0;
-/// Logarithm of how much less homes may pay than the circle for half the tickets to look for them, what they
-/// are taken to pay at the start and for how many outcomes that counts; the least share that does or does not
-/// look for them, to learn more, and how long what was learned lasts.
-const HOMES_LOSS: f64 = 0.04;
-const HOMES_START: f64 = 1.4;
-const HOMES_DOUBT: f64 = 8.0;
-const HOMES_TRIED: f64 = 0.07;
-const HOMES_LASTING: f64 = 60.0 * SECOND;
+/// Homes of a key for each upstream that its tickets would fill.
+const KEY_SPREAD: f64 = 8.0;
+/// How long a key's part of the traffic is remembered; what a key met but once counts less, and how many
+/// tickets stand against what little was seen.
+const KEY_LASTING: f64 = 60.0 * SECOND;
+const KEY_ALONE: f64 = 0.8;
+const KEY_DOUBT: f64 = 40.0;
+/// Homes of one key that a balancer keeps to at the least.
+const HOMES_KEPT: usize = 4;
 /// Sums that all keys share out among them: enough to tell the popular ones.
 const KEY_SUMS: usize = 1024;
 /// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
@@ -305,7 +305,8 @@
         };
         self.seen.arrivals.add(now, LASTING, 1.0);
         if let Some(key) = key.filter(|_| self.terms.keys_kept) {
-            self.keys[mixed(key, 0) as usize % KEY_SUMS].add(now, LASTING, 1.0);
+            self.keys[mixed(key, 0) as usize % KEY_SUMS].add(now, KEY_LASTING, 1.0);
+            self.seen.keyed.add(now, KEY_LASTING, 1.0);
         }
         let work = hint.map_or(1.0, |hint| {
             let usual = &mut self.paces[use_case].hint;
@@ -313,20 +314,10 @@
             (hint as f64 / usual.read().unwrap_or(1.0).max(1.0)).clamp(0.1, 10.0)
         });
         let within_share = self.within_share(now, account);
+        let homes = self.homes(now, key);
         let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
-        let homes = if self.homes_pay() { self.homes(now, key) } else { Vec::new() };
-        let ticket = Ticket {
-            id,
-            use_case,
-            key,
-            homes,
-            promised,
-            hard_stop,
-            work,
-            within_share,
-            streaming,
-            dispatches,
-        };
+        let ticket =
+            Ticket { id, use_case, homes, promised, hard_stop, work, within_share, streaming, dispatches };
         let heard = self.seen.pressure.weight.read(now, SECOND);
         let total = self.seen.pressure.total.read(now, SECOND);
         let pressure = (total + HEARD_PRIOR) / (heard + HEARD_PRIOR);
@@ -407,18 +398,11 @@
             })
             .collect();
         let in_flight = relative(&load);
-        let mut met = vec![0.0; ready.len()];
-        if let (Some(key), true) = (ticket.key, self.terms.keys_kept) {
-            let mut ranked: Vec<usize> = (0..ready.len()).filter(|&at| !self.is_cold(now, ready[at])).collect();
-            ranked.sort_by_key(|&place| std::cmp::Reverse(mixed(key, ups[ready[place]].hash)));
-            let full = self.fills(now, key);
-            let ranks = ranked.iter().zip(1..KEY_RANKS + full as usize + 1);
-            ranks.for_each(|(&place, rank)| met[place] = 1.0 / (rank as f64 - full).max(1.0));
-        }
+        let met = |u: usize| ticket.homes.iter().find(|home| home.0 == u).map_or(0.0, |home| home.1);
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
         let row = |(i, &u): (usize, &usize)| {
             let (busy, queue) = (busy[i] * fresh(u), queue[i] * fresh(u));
-            [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), met[i], queue]
+            [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), met(u), queue]
         };
         ready.iter().enumerate().map(row).collect()
     }
@@ -616,8 +600,8 @@
             if ready.len() >= most {
                 break;
             }
-            let u = if place < homes.len() { homes[place] } else { self.order[place - homes.len()] };
-            if place >= homes.len() && homes.contains(&u) {
+            let u = if place < homes.len() { homes[place].0 } else { self.order[place - homes.len()] };
+            if place >= homes.len() && homes.iter().any(|home| home.0 == u) {
                 continue;
             }
             if !self.permitted(now, ticket, u) || !self.has_room(now, u) {
@@ -654,41 +638,36 @@
         (ready, trial)
     }
 
-    /// Whether a ticket looks beyond the own circle for the homes of its key. They save the upstreams work,
-    /// but are shared by all balancers and known to none: they are left where they do not pay clearly more.
-    /// Few outcomes count little against the start, which has them pay.
-    fn homes_pay(&mut self) -> bool {
-        let paid = |mean: &Mean, first: f64| {
-            (mean.total.sum + HOMES_DOUBT * first) / (mean.weight.sum + HOMES_DOUBT)
-        };
-        let gain = (paid(&self.seen.at_home, HOMES_START) / paid(&self.seen.elsewhere, 1.0)).ln();
-        let part = 0.5 + (gain + HOMES_LOSS) / (4.0 * HOMES_LOSS);
-        self.chance.generate::<f64>() < part.clamp(HOMES_TRIED, 1.0 - HOMES_TRIED)
-    }
-
-    /// Where a key's tickets likely went before: all balancers rank the ready upstreams alike by key, without
-    /// speaking. A key with a large part of the traffic has as large a part of the upstreams for homes.
-    fn homes(&self, now: Micros, key: Option<u64>) -> Vec<usize> {
+    /// Where a key's tickets likely went before, and how likely: all balancers rank the warm upstreams alike by
+    /// key, without speaking. The larger a key's part of the traffic, the more homes it has, of which this
+    /// balancer keeps to the first in its own order.
+    fn homes(&self, now: Micros, key: Option<u64>) -> Vec<(usize, f64)> {
         let Some(key) = key.filter(|_| self.terms.keys_kept) else {
             return Vec::new();
         };
-        let rank = |&u: &usize| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
+        let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, KEY_LASTING) - KEY_ALONE;
+        let share = met / (self.seen.keyed.read(now, KEY_LASTING) + KEY_DOUBT);
+        let full = KEY_SPREAD * share * self.order.len() as f64;
+        let rank = |&(u, _): &(usize, f64)| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
         // A cold upstream has met no key, and its budget is not meant for all balancers.
-        let mut ranked: Vec<usize> = self.order.iter().copied().filter(|&u| !self.is_cold(now, u)).collect();
-        let count = KEY_RANKS + self.fills(now, key) as usize;
-        if count < ranked.len() {
-            ranked.select_nth_unstable_by_key(count, rank);
-            ranked.truncate(count);
+        let warm = self.order.iter().filter(|&&u| !self.is_cold(now, u));
+        let mut homes: Vec<(usize, f64)> = warm.enumerate().map(|(place, &u)| (u, place as f64)).collect();
+        let kept = self.circle().0.max(HOMES_KEPT);
+        let count = if full > kept as f64 { full as usize } else { KEY_RANKS + full as usize };
+        if count < homes.len() {
+            homes.select_nth_unstable_by_key(count, rank);
+            homes.truncate(count);
+        }
+        if full > kept as f64 {
+            homes.sort_by(|a, b| a.1.total_cmp(&b.1));
+            homes.truncate(kept);
+        } else {
+            homes.sort_by_key(rank);
         }
-        ranked.sort_by_key(rank);
-        ranked
-    }
-
-    /// How many upstreams a key's tickets would fill, by its part of recent tickets.
-    fn fills(&self, now: Micros, key: u64) -> f64 {
-        let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, LASTING);
-        let share = (met - 0.5) / (self.seen.arrivals.read(now, LASTING) + 10.0);
-        KEY_SPREAD * share * self.order.len() as f64
+        for (rank, home) in homes.iter_mut().enumerate() {
+            home.1 = 1.0 / (1.0 + rank as f64 - full).max(1.0);
+        }
+        homes
     }
 
     /// Whether an upstream is silent or fails more than the fleet does.
@@ -904,11 +883,6 @@
             *shortest += if mean < *shortest { QUICKER } else { SLOWER } * (mean - *shortest);
             upstream.kept.add(now, RECENT, took * ticket.work);
             payoff = (all / answer).min(WIDEST);
-            match (ticket.key, ticket.homes.contains(&dispatch.upstream)) {
-                (Some(_), true) => self.seen.at_home.add(now, HOMES_LASTING, payoff, 1.0),
-                (Some(_), false) if ticket.homes.is_empty() => self.seen.elsewhere.add(now, HOMES_LASTING, payoff, 1.0),
-                _ => {}
-            }
         } else {
             if ending.proves_not_run() {
                 upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -82,7 +82,6 @@
     Ticket {
         id: Rc::from("t"),
         use_case: 0,
-        key: None,
         homes: Vec::new(),
         promised: START_AT + 400 * MS,
         hard_stop: START_AT + 5_000 * MS,
--- a/src/known.rs
+++ b/src/known.rs
@@ -61,9 +61,8 @@
 pub(crate) struct Ticket {
     pub(crate) id: Rc<str>,
     pub(crate) use_case: usize,
-    pub(crate) key: Option<u64>,
-    /// Likely homes of its key that it may go to beside the own circle.
-    pub(crate) homes: Vec<usize>,
+    /// Likely homes of its key, and how likely each.
+    pub(crate) homes: Vec<(usize, f64)>,
     pub(crate) promised: Micros,
     pub(crate) hard_stop: Micros,
     /// Work against a usual ticket of its use case.
@@ -86,13 +85,11 @@
 pub(crate) struct Seen {
     pub(crate) answers: Mean,
     pub(crate) payoffs: Mean,
-    /// Answer times at the homes of keys and, where none were looked for, in the circle.
-    pub(crate) at_home: Mean,
-    pub(crate) elsewhere: Mean,
     pub(crate) pressure: Mean,
     pub(crate) succeeded: Fading,
     pub(crate) failed: Fading,
     pub(crate) arrivals: Fading,
+    pub(crate) keyed: Fading,
     pub(crate) served: Fading,
     pub(crate) further: Fading,
     pub(crate) further_succeeded: Fading,
