--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,14 +34,14 @@
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: usize = 3;
 /// Homes of a key for each upstream that its tickets would fill.
-const KEY_SPREAD: f64 = 8.0;
+const KEY_SPREAD: f64 = 20.0;
 /// How long a key's part of the traffic is remembered; what a key met but once counts less, and how many
 /// tickets stand against what little was seen.
 const KEY_LASTING: f64 = 60.0 * SECOND;
 const KEY_ALONE: f64 = 0.8;
 const KEY_DOUBT: f64 = 40.0;
 /// Homes of one key that a balancer keeps to at the least.
-const HOMES_KEPT: usize = 4;
+const HOMES_KEPT: usize = 2;
 /// Sums that all keys share out among them: enough to tell the popular ones.
 const KEY_SUMS: usize = 1024;
 /// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
