--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,14 +34,14 @@
 /// Upstreams a key is spread over, each with less pull than the one before.
 const KEY_RANKS: usize = 3;
 /// Homes of a key for each upstream that its tickets would fill.
-const KEY_SPREAD: f64 = 20.0;
+const KEY_SPREAD: f64 = 8.0;
 /// How long a key's part of the traffic is remembered; what a key met but once counts less, and how many
 /// tickets stand against what little was seen.
 const KEY_LASTING: f64 = 60.0 * SECOND;
 const KEY_ALONE: f64 = 0.8;
 const KEY_DOUBT: f64 = 40.0;
 /// Homes of one key that a balancer keeps to at the least.
-const HOMES_KEPT: usize = 2;
+const HOMES_KEPT: usize = 4;
 /// Sums that all keys share out among them: enough to tell the popular ones.
 const KEY_SUMS: usize = 1024;
 /// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
@@ -107,8 +107,6 @@
 const LEAST_THROUGH: f64 = 0.1;
 const START_THROUGH: f64 = 0.5;
 const HEARD_PRIOR: f64 = 0.5;
-/// Tickets within a promised time that an in-flight limit can tell apart.
-const FEW_AT_ONCE: f64 = 20.0;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
 /// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
@@ -322,10 +320,9 @@
         let total = self.seen.pressure.total.read(now, SECOND);
         let pressure = (total + HEARD_PRIOR) / (heard + HEARD_PRIOR);
         self.let_through = (self.let_through * (1.0 + THINNING * (1.0 - pressure))).clamp(LEAST_THROUGH, 1.0);
-        // Where many tickets come within their promised time, the in-flight limit alone is fine enough.
-        let lived = (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING);
-        let at_once = self.seen.arrivals.read(now, LASTING) / lived * (promised - now) as f64;
-        let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + (at_once / FEW_AT_ONCE).powi(3));
+        // Where a balancer has several upstreams to itself, its in-flight limit alone is fine enough.
+        let own = self.order.len() as f64 / self.terms.balancers as f64;
+        let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + own.powi(4));
         // Beyond the share gives way first.
         let part = if within_share { let_through } else { 2.0 * let_through - 1.0 };
         if self.chance.generate::<f64>() > part {
@@ -849,9 +846,12 @@
         }
         let promised = self.terms.use_cases[ticket.use_case].promised_time as f64;
         // A hung or broken upstream says nothing of the others' load.
-        if matches!(ending, Ending::Succeeded | Ending::TurnedAway) {
-            let late = took as f64 / promised / AT_EASE;
-            let pressure = if ending == Ending::Succeeded { late.min(MOST_PRESSURE) } else { MOST_PRESSURE };
+        let pressure = match ending {
+            Ending::Succeeded => Some((took as f64 / promised / AT_EASE).min(MOST_PRESSURE)),
+            Ending::TurnedAway => Some(MOST_PRESSURE),
+            _ => None,
+        };
+        if let Some(pressure) = pressure {
             self.seen.pressure.add(now, SECOND, pressure, 1.0);
         }
         // Use cases are put on one scale by how their usual answer times compare.
