--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,7 +25,7 @@
 
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents; own
 /// in-flight is the freshest sign of load and weighs most.
-const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, 7.0, -0.3];
+const START: [f64; FEATURES] = [-4.0, -1.5, -0.3, -3.0, 1.0, 0.4, 7.0, -0.3];
 /// A weight keeps this part of its start value and grows no further than its inverse allows: none changes
 /// sign, vanishes or runs off.
 const FLOOR: f64 = 0.4;
@@ -104,6 +104,7 @@
 const AT_EASE: f64 = 0.4;
 const THINNING: f64 = 0.3;
 const MOST_PRESSURE: f64 = 3.0;
+const REFUSED_PRESSURE: f64 = 1.5;
 const LEAST_THROUGH: f64 = 0.1;
 const START_THROUGH: f64 = 0.5;
 const HEARD_PRIOR: f64 = 0.5;
@@ -848,7 +849,7 @@
         // A hung or broken upstream says nothing of the others' load.
         let pressure = match ending {
             Ending::Succeeded => Some((took as f64 / promised / AT_EASE).min(MOST_PRESSURE)),
-            Ending::TurnedAway => Some(MOST_PRESSURE),
+            Ending::TurnedAway => Some(REFUSED_PRESSURE),
             _ => None,
         };
         if let Some(pressure) = pressure {
