--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,7 +25,7 @@
 
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents; own
 /// in-flight is the freshest sign of load and weighs most.
-const START: [f64; FEATURES] = [-4.0, -1.5, -0.3, -3.0, 1.0, 0.4, 7.0, -0.3];
+const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, 7.0, -0.3];
 /// A weight keeps this part of its start value and grows no further than its inverse allows: none changes
 /// sign, vanishes or runs off.
 const FLOOR: f64 = 0.4;
@@ -102,11 +102,11 @@
 /// Mean part of the promised time that answers may take before fewer tickets are let through; how quickly
 /// each answer moves the share, what a refusal counts, and the least share.
 const AT_EASE: f64 = 0.4;
-const THINNING: f64 = 0.3;
+const THINNING: f64 = 0.2;
 const MOST_PRESSURE: f64 = 3.0;
-const REFUSED_PRESSURE: f64 = 1.5;
+const REFUSED_PRESSURE: f64 = 3.0;
 const LEAST_THROUGH: f64 = 0.1;
-const START_THROUGH: f64 = 0.5;
+const START_THROUGH: f64 = 0.3;
 const HEARD_PRIOR: f64 = 0.5;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
