--- a/src/decide.rs
+++ b/src/decide.rs
@@ -102,11 +102,11 @@
 /// Mean part of the promised time that answers may take before fewer tickets are let through; how quickly
 /// each answer moves the share, what a refusal counts, and the least share.
 const AT_EASE: f64 = 0.4;
-const THINNING: f64 = 0.2;
+const THINNING: f64 = 0.3;
 const MOST_PRESSURE: f64 = 3.0;
 const REFUSED_PRESSURE: f64 = 3.0;
 const LEAST_THROUGH: f64 = 0.1;
-const START_THROUGH: f64 = 0.3;
+const START_THROUGH: f64 = 0.5;
 const HEARD_PRIOR: f64 = 0.5;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
@@ -120,6 +120,10 @@
 /// Expected answer times that must be left when a held ticket is sent.
 const TIME_LEFT: f64 = 2.0;
 
+/// Tickets over which an account's share is kept, and the longest time that may take.
+const SHARE_TICKETS: f64 = 16.0;
+const SHARE_LASTING: f64 = 60.0 * SECOND;
+
 /// Share of a cold upstream's budget that is used, its true capacity being a guess, and the part of a usual
 /// ticket by which a heavy one may go beyond.
 const COLD_MARGIN: f64 = 0.4;
@@ -316,7 +320,7 @@
         let homes = self.homes(now, key);
         let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
         let ticket =
-            Ticket { id, use_case, homes, promised, hard_stop, work, within_share, streaming, dispatches };
+            Ticket { id, use_case, account, homes, promised, hard_stop, work, within_share, streaming, dispatches };
         let heard = self.seen.pressure.weight.read(now, SECOND);
         let total = self.seen.pressure.total.read(now, SECOND);
         let pressure = (total + HEARD_PRIOR) / (heard + HEARD_PRIOR);
@@ -422,6 +426,10 @@
         upstream.unanswered_since.get_or_insert(now);
         if !ticket.dispatches.is_empty() {
             self.seen.further.add(now, LASTING, 1.0);
+        } else if let Some(allowance) = self.terms.allowances.get(ticket.account) {
+            // Counted when sent: a client that asks again for a dismissed ticket asks for the same share.
+            let (horizon, _) = share(*allowance, self.terms.balancers);
+            self.admitted[ticket.account].add(now, horizon, f64::from(u8::from(ticket.within_share)));
         }
         ticket.dispatches.push(Dispatch { upstream: u, sent: now, out: true, may_have_run: true, scene });
         self.host.dispatch(&ticket.id, &upstream.id, ticket.hard_stop);
@@ -799,17 +807,13 @@
         self.set_pump();
     }
 
-    /// Whether a ticket lies within this balancer's part of its account's allowance.
-    fn within_share(&mut self, now: Micros, account: usize) -> bool {
-        let Some(admitted) = self.admitted.get_mut(account) else {
-            return true;
-        };
-        let usual = self.terms.allowances[account] / self.terms.balancers as f64 * RECENT / SECOND;
-        let within = admitted.read(now, RECENT) < usual + usual.sqrt();
-        if within {
-            admitted.add(now, RECENT, 1.0);
-        }
-        within
+    /// Whether a ticket lies within this balancer's part of its account's allowance, over a time in which that
+    /// is some tickets: where balancers are many, chance would else pass for share.
+    fn within_share(&self, now: Micros, account: usize) -> bool {
+        self.terms.allowances.get(account).is_none_or(|allowance| {
+            let (horizon, usual) = share(*allowance, self.terms.balancers);
+            self.admitted[account].read(now, horizon) < usual + usual.sqrt()
+        })
     }
 
     /// The upstream's load as it reports it; alike for all balancers and late.
@@ -965,6 +969,13 @@
     }
 }
 
+/// Horizon of an account's share, and one balancer's part of the allowance over it.
+fn share(allowance: f64, balancers: usize) -> (f64, f64) {
+    let rate = allowance / balancers as f64 / SECOND;
+    let horizon = (SHARE_TICKETS / rate.max(1e-12)).clamp(RECENT, SHARE_LASTING);
+    (horizon, rate * horizon)
+}
+
 /// How many of the ready may be drawn: together the balancers cover the fleet twice.
 fn top(ready: usize, balancers: usize) -> usize {
     ready
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -82,6 +82,7 @@
     Ticket {
         id: Rc::from("t"),
         use_case: 0,
+        account: 0,
         homes: Vec::new(),
         promised: START_AT + 400 * MS,
         hard_stop: START_AT + 5_000 * MS,
