--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -139,6 +139,7 @@
             _ => None,
         },
         weights_listed: text(conf, "weightKind")? != "off",
+        loads_listed: text(conf, "weightKind")? == "live",
         keys_kept: flag(family, "warmKeys")?,
         may_call_off: flag(caps, "cancel")?,
         second_copies: flag(caps, "secondCopies")?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -120,10 +120,6 @@
 /// Expected answer times that must be left when a held ticket is sent.
 const TIME_LEFT: f64 = 2.0;
 
-/// Tickets over which an account's share is kept, and the longest time that may take.
-const SHARE_TICKETS: f64 = 16.0;
-const SHARE_LASTING: f64 = 60.0 * SECOND;
-
 /// Share of a cold upstream's budget that is used, its true capacity being a guess, and the part of a usual
 /// ticket by which a heavy one may go beyond.
 const COLD_MARGIN: f64 = 0.4;
@@ -320,7 +316,7 @@
         let homes = self.homes(now, key);
         let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
         let ticket =
-            Ticket { id, use_case, account, homes, promised, hard_stop, work, within_share, streaming, dispatches };
+            Ticket { id, use_case, homes, promised, hard_stop, work, within_share, streaming, dispatches };
         let heard = self.seen.pressure.weight.read(now, SECOND);
         let total = self.seen.pressure.total.read(now, SECOND);
         let pressure = (total + HEARD_PRIOR) / (heard + HEARD_PRIOR);
@@ -426,10 +422,6 @@
         upstream.unanswered_since.get_or_insert(now);
         if !ticket.dispatches.is_empty() {
             self.seen.further.add(now, LASTING, 1.0);
-        } else if let Some(allowance) = self.terms.allowances.get(ticket.account) {
-            // Counted when sent: a client that asks again for a dismissed ticket asks for the same share.
-            let (horizon, _) = share(*allowance, self.terms.balancers);
-            self.admitted[ticket.account].add(now, horizon, f64::from(u8::from(ticket.within_share)));
         }
         ticket.dispatches.push(Dispatch { upstream: u, sent: now, out: true, may_have_run: true, scene });
         self.host.dispatch(&ticket.id, &upstream.id, ticket.hard_stop);
@@ -563,8 +555,8 @@
     }
 
     /// The span of a cold upstream's life that the present belongs to, and what may be sent in it. Its full
-    /// capacity is not told; it is taken to be what this balancer's other upstreams are seen to bear, or a
-    /// part of what arrives where nothing is served yet. Where that is less than one ticket, as many of the
+    /// capacity is not told; it is taken to be what this balancer's warm upstreams are seen to bear, or a
+    /// part of what arrives where none is warm. Where that is less than one ticket, as many of the
     /// balancers as the share asks for may send one, by own chance drawn anew for each span: what is not used
     /// is gone, so hundreds of lone tickets never come together.
     fn cold_budget(&self, now: Micros, u: usize) -> (u64, f64) {
@@ -573,9 +565,11 @@
         let grown = warming.starts_at
             + (1.0 - warming.starts_at) * (age as f64 / warming.warm_after as f64).min(1.0);
         let lived = (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING);
-        let arrived = warming.starts_at * self.seen.arrivals.read(now, LASTING);
-        let borne = self.seen.served.read(now, LASTING).max(arrived) / lived;
-        let each = borne / self.circle().0.min(self.warm).max(1) as f64;
+        let borne = match self.warm {
+            0 => warming.starts_at * self.seen.arrivals.read(now, LASTING),
+            _ => self.seen.served.read(now, LASTING),
+        };
+        let each = borne / lived / self.circle().0.min(self.warm).max(1) as f64;
         let span = age / warming.span.max(1);
         let chance = mixed(mixed(self.salt, upstream.hash), span) as f64 / u64::MAX as f64;
         let budget = COLD_MARGIN * warming.multiple * grown * each * warming.span as f64;
@@ -653,10 +647,12 @@
         };
         let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, KEY_LASTING) - KEY_ALONE;
         let share = met / (self.seen.keyed.read(now, KEY_LASTING) + KEY_DOUBT);
-        let full = KEY_SPREAD * share * self.order.len() as f64;
         let rank = |&(u, _): &(usize, f64)| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
-        // A cold upstream has met no key, and its budget is not meant for all balancers.
-        let warm = self.order.iter().filter(|&&u| !self.is_cold(now, u));
+        // Beyond the circle an upstream's load is known from the list alone: where that does not tell it, homes
+        // shared with all others would be overrun unseen. A cold upstream has met no key.
+        let among = if self.terms.loads_listed { self.order.len() } else { self.circle().0 };
+        let full = KEY_SPREAD * share * among as f64;
+        let warm = self.order.iter().take(among).filter(|&&u| !self.is_cold(now, u));
         let mut homes: Vec<(usize, f64)> = warm.enumerate().map(|(place, &u)| (u, place as f64)).collect();
         let kept = self.circle().0.max(HOMES_KEPT);
         let count = if full > kept as f64 { full as usize } else { KEY_RANKS + full as usize };
@@ -807,13 +803,17 @@
         self.set_pump();
     }
 
-    /// Whether a ticket lies within this balancer's part of its account's allowance, over a time in which that
-    /// is some tickets: where balancers are many, chance would else pass for share.
-    fn within_share(&self, now: Micros, account: usize) -> bool {
-        self.terms.allowances.get(account).is_none_or(|allowance| {
-            let (horizon, usual) = share(*allowance, self.terms.balancers);
-            self.admitted[account].read(now, horizon) < usual + usual.sqrt()
-        })
+    /// Whether a ticket lies within this balancer's part of its account's allowance.
+    fn within_share(&mut self, now: Micros, account: usize) -> bool {
+        let Some(admitted) = self.admitted.get_mut(account) else {
+            return true;
+        };
+        let usual = self.terms.allowances[account] / self.terms.balancers as f64 * RECENT / SECOND;
+        let within = admitted.read(now, RECENT) < usual + usual.sqrt();
+        if within {
+            admitted.add(now, RECENT, 1.0);
+        }
+        within
     }
 
     /// The upstream's load as it reports it; alike for all balancers and late.
@@ -837,7 +837,7 @@
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else {
             return;
         };
-        let heard = self.heard_within(now);
+        let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
         let upstream = &mut self.upstreams[dispatch.upstream];
@@ -881,7 +881,9 @@
             pace.present.add(now, RECENT, took, ticket.work);
             pace.lasting.add(now, LASTING, took, ticket.work);
             self.seen.answers.add(now, LASTING, took, ticket.work);
-            self.seen.served.add(now, LASTING, ticket.work);
+            if !cold {
+                self.seen.served.add(now, LASTING, ticket.work);
+            }
             self.kinds.entry(upstream.kind).or_default().add(now, LASTING, answer, ticket.work);
             let mean = upstream.lasting_answers.read().unwrap_or(answer);
             let shortest = upstream.shortest.get_or_insert(mean);
@@ -969,13 +971,6 @@
     }
 }
 
-/// Horizon of an account's share, and one balancer's part of the allowance over it.
-fn share(allowance: f64, balancers: usize) -> (f64, f64) {
-    let rate = allowance / balancers as f64 / SECOND;
-    let horizon = (SHARE_TICKETS / rate.max(1e-12)).clamp(RECENT, SHARE_LASTING);
-    (horizon, rate * horizon)
-}
-
 /// How many of the ready may be drawn: together the balancers cover the fleet twice.
 fn top(ready: usize, balancers: usize) -> usize {
     ready
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -56,6 +56,7 @@
         zone: 0,
         ask_within: Some(8_000 * MS),
         weights_listed: false,
+        loads_listed: false,
         keys_kept: true,
         may_call_off: true,
         second_copies: true,
@@ -82,7 +83,6 @@
     Ticket {
         id: Rc::from("t"),
         use_case: 0,
-        account: 0,
         homes: Vec::new(),
         promised: START_AT + 400 * MS,
         hard_stop: START_AT + 5_000 * MS,
--- a/src/known.rs
+++ b/src/known.rs
@@ -61,7 +61,6 @@
 pub(crate) struct Ticket {
     pub(crate) id: Rc<str>,
     pub(crate) use_case: usize,
-    pub(crate) account: usize,
     /// Likely homes of its key, and how likely each.
     pub(crate) homes: Vec<(usize, f64)>,
     pub(crate) promised: Micros,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -94,6 +94,8 @@
     /// Set where the list must be asked for: the longest a balancer may go without asking.
     pub ask_within: Option<Micros>,
     pub weights_listed: bool,
+    /// The listed weights fall as an upstream holds more.
+    pub loads_listed: bool,
     pub keys_kept: bool,
     pub may_call_off: bool,
     pub second_copies: bool,
