--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -190,19 +190,19 @@
     };
     balancer.list_begins(complete);
     for entry in list(event, "membersList")? {
-        balancer.list_entry(
-            text(entry, "upstream")?,
-            whole(entry, "site")?,
-            whole(entry, "generationHw")?,
-            whole(entry, "group")?,
-            match text(entry, "phase")? {
-                "IN" => true,
-                "LAME" | "OUT" => false,
-                other => return Err(format!("field 'phase' holds unknown '{other}'")),
-            },
-            number(entry, "weight")?,
-            optional(entry, "launchedUs", Value::as_u64)?.unwrap_or(0),
-        );
+        let upstream = text(entry, "upstream")?;
+        match text(entry, "phase")? {
+            "IN" => balancer.list_entry(
+                upstream,
+                whole(entry, "site")?,
+                whole(entry, "generationHw")?,
+                whole(entry, "group")?,
+                number(entry, "weight")?,
+                optional(entry, "launchedUs", Value::as_u64)?.unwrap_or(0),
+            ),
+            "LAME" | "OUT" => balancer.list_drains(upstream),
+            other => return Err(format!("field 'phase' holds unknown '{other}'")),
+        }
     }
     balancer.list_ends(now);
     Ok(())
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,19 +3,19 @@
 //! ordinary path is `place` (see `docs/design.md`); every dispatch passes `send`, where `permitted` keeps the
 //! rules. Beside the path stand six mechanisms:
 //! 1. following the list and drains (`list_*`);
-//! 2. the cold allowance (`cold_room`);
+//! 2. the cold allowance (`cold_budget`);
 //! 3. suspicion of silent or failing upstreams, and trials for their return (`suspect`);
 //! 4. further dispatches and patience (`may_spend_more`, `patience_ran_out`);
 //! 5. the in-flight limit, and holding or dismissing beyond it (`admit`, `pump`);
 //! 6. account shares under pressure (`within_share`).
 
-use std::collections::HashMap;
 use std::rc::Rc;
 
 use nanorand::{Rng, WyRand};
 
+use crate::arithmetic::{dot, mixed, relative, scattered, softplus};
 use crate::fading::{Fading, Mean};
-use crate::known::{Dispatch, FEATURES, Pace, Scene, Seen, Ticket, Upstream};
+use crate::known::{Balancer, Dispatch, FEATURES, Scene, Ticket, Upstream};
 use crate::{Effect, Ending, Group, Host, Micros, Terms};
 
 #[cfg(test)]
@@ -23,39 +23,33 @@
 
 const SECOND: f64 = 1e6;
 
-/// The constant puts an average upstream on the bent part of softplus, where weights act as exponents; own
-/// in-flight is the freshest sign of load and weighs most.
+/// The constant puts an average upstream on the bent part of softplus, where weights act as exponents.
 const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, 7.0, -0.3];
-/// A weight keeps this part of its start value and grows no further than its inverse allows: none changes
-/// sign, vanishes or runs off.
+/// Part of its start value that a weight keeps, and the inverse of how far it grows: none changes sign.
 const FLOOR: f64 = 0.4;
 /// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
 const WIDEST: f64 = 3.0;
-/// Upstreams a key is spread over, each with less pull than the one before.
+/// Homes of a key, each with less pull than the one before, and those for each upstream that it would fill.
 const KEY_RANKS: usize = 3;
-/// Homes of a key for each upstream that its tickets would fill.
 const KEY_SPREAD: f64 = 8.0;
-/// How long a key's part of the traffic is remembered; what a key met but once counts less, and how many
-/// tickets stand against what little was seen.
+/// How long a key's part of the traffic is remembered, and doubts about what was met once or little seen.
 const KEY_LASTING: f64 = 60.0 * SECOND;
 const KEY_ALONE: f64 = 0.8;
 const KEY_DOUBT: f64 = 40.0;
-/// Homes of one key that a balancer keeps to at the least.
+/// Homes of one key that a balancer keeps to, and sums that all keys share: enough to tell the popular ones.
 const HOMES_KEPT: usize = 4;
-/// Sums that all keys share out among them: enough to tell the popular ones.
 const KEY_SUMS: usize = 1024;
-/// Balancers that keep to an upstream at the least, and upstreams that a balancer keeps to at the least:
-/// enough to choose among, few enough to be heard often.
+/// Balancers that keep to an upstream and upstreams that a balancer keeps to, at the least: enough to choose
+/// among, few enough to be heard often; and those of the own zone for each one from elsewhere.
 const CIRCLE_SHARERS: usize = 4;
 const CIRCLE_LEAST: usize = 2;
 const NEAR_FOR_ONE_FAR: usize = 2;
-/// Irrational parts of a ring: starts and steps spread evenly whatever the numbers.
+/// Irrational part of a ring between neighbours' starts: they spread evenly whatever the numbers.
 const RING_START: f64 = 0.618_033_988_749_895;
-const RING_STEP: f64 = std::f64::consts::SQRT_2;
 const STEP: f64 = 0.1;
 const CLIP: f64 = 0.2; // the paper's ε
 const EPOCHS: usize = 2;
-/// Share of the way back to the start weights at each update: few or odd payoffs cannot add up to a drift.
+/// Share of the way back to the start weights at each update: odd payoffs cannot add up to a drift.
 const ANCHOR: f64 = 0.02;
 const OUTCOMES_AN_UPDATE: usize = 256;
 const UPDATE_EVERY: Micros = 2_000_000;
@@ -64,10 +58,8 @@
 const RECENT: f64 = 2.0 * SECOND;
 const LASTING: f64 = 15.0 * SECOND;
 
-/// Answers from an upstream that tell of its present state.
+/// Answers that tell of an upstream's present state, and how many what is usual for its machine type counts.
 const HEARD_EACH: f64 = 4.0;
-
-/// Answers that what is usual for a machine type counts for.
 const KIND_ANSWERS: f64 = 1.0;
 
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
@@ -89,111 +81,50 @@
 const FURTHER: f64 = 0.3;
 const FURTHER_FREE: f64 = 2.0;
 
-/// The shortest answer time follows quicker means at the first rate and slower ones at the second: a jam is
-/// not taken for the usual, yet a lasting change is learned.
+/// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
 const QUICKER: f64 = 0.1;
 const SLOWER: f64 = 0.002;
-/// What is kept in flight, against what the shortest answer times would need.
+/// In flight against what the shortest answer times would need, and what an upstream is never denied.
 const STRETCH: f64 = 1.5;
-/// In flight for each ready upstream, over all balancers, that is never denied: less would leave cores idle.
 const LEAST_EACH: f64 = 2.0;
 /// Where a limit counts as one ticket more: above a half, a limit of one could never grow.
 const ROUNDING: f64 = 0.4;
-/// Mean part of the promised time that answers may take before fewer tickets are let through; how quickly
-/// each answer moves the share, what a refusal counts, and the least share.
+/// Part of the promised time that answers may take before a smaller share of tickets is let through; how
+/// quickly each ticket moves the share, the most that an answer counts, as a refusal does; the least share,
+/// that at the start, when nothing is known of the upstreams' speeds, and the answers it takes to leave it.
 const AT_EASE: f64 = 0.4;
 const THINNING: f64 = 0.3;
 const MOST_PRESSURE: f64 = 3.0;
-const REFUSED_PRESSURE: f64 = 3.0;
 const LEAST_THROUGH: f64 = 0.1;
 const START_THROUGH: f64 = 0.5;
 const HEARD_PRIOR: f64 = 0.5;
 /// How often held tickets are looked at when nothing else happens.
 const PUMP_EVERY: Micros = 10_000;
-/// Part of the time a ticket has to spare that the queue before it may take: a longer one would stand for
-/// good, make every answer late and serve no more.
+/// Part of the time a ticket has to spare that the queue before it may take, and beyond its account's share:
+/// a longer queue would stand for good, make every answer late and serve no more.
 const HELD_PART: f64 = 0.15;
-/// The same for tickets beyond their account's share: under pressure they give way first.
 const HELD_PART_BEYOND: f64 = 0.04;
 /// Expected answer times after which a dismissed ticket may come back: past its promised time none is of use.
 const COME_BACK: f64 = 0.5;
 /// Expected answer times that must be left when a held ticket is sent.
 const TIME_LEFT: f64 = 2.0;
 
-/// Share of a cold upstream's budget that is used, its true capacity being a guess, and the part of a usual
-/// ticket by which a heavy one may go beyond.
+/// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
 const COLD_MARGIN: f64 = 0.4;
 const COLD_ROUNDING: f64 = 0.5;
 
-/// Part of the time to ask for the list over which a very large fleet spreads its asking, and how many
-/// balancers beside this one spread over half of that.
+/// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
 const FOLLOW_WITHIN: f64 = 0.8;
 const FOLLOWERS: f64 = 32.0;
 
 const FOLLOW_ALARM: u64 = 0;
 const PUMP_ALARM: u64 = 1;
 
-/// One balancer.
-pub struct Balancer<H: Host> {
-    host: H,
-    terms: Terms,
-    chance: WyRand,
-    upstreams: Vec<Upstream>,
-    by_id: HashMap<Rc<str>, usize>,
-    /// All ready upstreams in this balancer's own order, the first of which it keeps to.
-    order: Vec<usize>,
-    keys: Vec<Fading>,
-    /// Answer times by machine type: what is heard of one tells of the others.
-    kinds: HashMap<u64, Mean>,
-    tickets: HashMap<Rc<str>, Ticket>,
-    held: Vec<Ticket>,
-    alarms: HashMap<u64, Rc<str>>,
-    last_alarm: u64,
-    pump_set: bool,
-    failed_follows: u32,
-    /// Warm ready upstreams when last counted.
-    warm: usize,
-    /// Own chance that stays for the whole life.
-    salt: u64,
-    /// Share of tickets let through.
-    let_through: f64,
-    weights: [f64; FEATURES],
-    samples: Vec<(Scene, f64)>,
-    updated: Micros,
-    started: Micros,
-    paces: Vec<Pace>,
-    seen: Seen,
-    admitted: Vec<Fading>,
-}
-
 impl<H: Host> Balancer<H> {
     pub fn start(host: H, seed: u64, terms: Terms, now: Micros) -> Self {
-        let mut balancer = Self {
-            host,
-            chance: WyRand::new_seed(seed),
-            warm: 0,
-            salt: mixed(seed, 0),
-            upstreams: Vec::new(),
-            by_id: HashMap::new(),
-            order: Vec::new(),
-            kinds: HashMap::new(),
-            keys: vec![Fading::default(); if terms.keys_kept { KEY_SUMS } else { 0 }],
-            tickets: HashMap::new(),
-            held: Vec::new(),
-            alarms: HashMap::new(),
-            last_alarm: PUMP_ALARM,
-            pump_set: false,
-            failed_follows: 0,
-            let_through: START_THROUGH,
-            weights: START,
-            samples: Vec::new(),
-            updated: now,
-            started: now,
-            paces: vec![Pace::default(); terms.use_cases.len()],
-            seen: Seen::default(),
-            admitted: vec![Fading::default(); terms.allowances.len()],
-            terms,
-        };
+        let mut balancer = Self::blank(host, WyRand::new_seed(seed), terms, START, now);
+        (balancer.salt, balancer.let_through) = (mixed(seed, 0), START_THROUGH);
+        balancer.keys = vec![Fading::default(); KEY_SUMS];
         match balancer.follow_spread() {
             Some(0) => balancer.host.follow_list(),
             Some(spread) => balancer.host.wake(balancer.chance.generate_range(0..=spread), FOLLOW_ALARM),
@@ -202,8 +133,8 @@
         balancer
     }
 
-    /// Over how long the balancers spread their asking for the list: all at once they would crowd the roster,
-    /// which does not grow with them. It stays within the span after which we count as told.
+    /// Over how long the balancers spread asking for the list: all at once they would crowd the roster, which
+    /// does not grow with them. It stays within the span after which we count as told.
     fn follow_spread(&self) -> Option<Micros> {
         let others = self.terms.balancers as f64 - 1.0;
         self.terms.ask_within.map(|w| (FOLLOW_WITHIN * w as f64 * others / (others + FOLLOWERS)) as Micros)
@@ -211,12 +142,12 @@
 
     /// The list failed or broke: the previous one stands, and we ask anew after a growing, scattered wait.
     pub fn list_failed(&mut self) {
-        if let (Some(within), Some(spread)) = (self.terms.ask_within, self.follow_spread()) {
-            let wait = spread.max((within / 64) << self.failed_follows.min(4));
-            self.failed_follows += 1;
-            let scattered = wait as f64 * (0.5 + self.chance.generate::<f64>() / 2.0);
-            self.host.wake(scattered as Micros, FOLLOW_ALARM);
-        }
+        let Some((within, spread)) = self.terms.ask_within.zip(self.follow_spread()) else {
+            return;
+        };
+        let wait = spread.max((within / 64) << self.failed_follows.min(4)) as f64;
+        self.failed_follows += 1;
+        self.host.wake((wait * (0.5 + self.chance.generate::<f64>() / 2.0)) as Micros, FOLLOW_ALARM);
     }
 
     /// What a complete list does not name is gone.
@@ -224,17 +155,14 @@
         self.upstreams.iter_mut().for_each(|upstream| upstream.ready &= !complete);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    pub fn list_entry(
-        &mut self,
-        id: &str,
-        zone: u64,
-        kind: u64,
-        cell: u64,
-        ready: bool,
-        weight: f64,
-        launched: Micros,
-    ) {
+    /// It drains or is gone: nothing more, at once.
+    pub fn list_drains(&mut self, id: &str) {
+        if let Some(&u) = self.by_id.get(id) {
+            self.upstreams[u].ready = false;
+        }
+    }
+
+    pub fn list_entry(&mut self, id: &str, zone: u64, kind: u64, cell: u64, weight: f64, launched: Micros) {
         let new = self.upstreams.len();
         let at = *self.by_id.entry(Rc::from(id)).or_insert(new);
         if at == new {
@@ -242,16 +170,15 @@
             self.upstreams.push(Upstream { id: Rc::from(id), hash, ..Upstream::default() });
         }
         let upstream = &mut self.upstreams[at];
-        (upstream.zone, upstream.kind, upstream.cell, upstream.ready) = (zone, kind, cell, ready);
+        (upstream.zone, upstream.kind, upstream.cell, upstream.ready) = (zone, kind, cell, true);
         if launched > upstream.launched && upstream.launched > 0 {
-            // A restarted process has nothing to do with what was held against the old one.
+            // A new process has nothing to do with what was held against the old one.
             upstream.answers = Mean::default();
             upstream.failed = Fading::default();
             upstream.unanswered_since = None;
         }
         upstream.launched = launched;
-        // Weights may be live readings, late and alike at all balancers: following each would make them
-        // swing together, so older ones count on.
+        // Weights may be late readings, alike at all balancers: following each they would swing together.
         upstream.weight.total.sum = upstream.weight.total.sum * 0.9 + weight;
         upstream.weight.weight.sum = upstream.weight.weight.sum * 0.9 + 1.0;
     }
@@ -263,8 +190,7 @@
     }
 
     /// Balancers that see little each keep to a few upstreams, of which they then hear often. Where each
-    /// starts on the common ring follows from its number, so that every upstream has as many balancers as
-    /// another and no two balancers share a set; so many of the own zone come for each one from elsewhere.
+    /// starts on the common ring follows from its number: every upstream has as many balancers as another.
     fn draw_order(&mut self) {
         let mut ring: Vec<usize> = (0..self.upstreams.len()).filter(|&u| self.upstreams[u].ready).collect();
         if ring.len() == self.order.len() && self.order.iter().all(|&u| self.upstreams[u].ready) {
@@ -317,10 +243,10 @@
         let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
         let ticket =
             Ticket { id, use_case, homes, promised, hard_stop, work, within_share, streaming, dispatches };
-        let heard = self.seen.pressure.weight.read(now, SECOND);
-        let total = self.seen.pressure.total.read(now, SECOND);
-        let pressure = (total + HEARD_PRIOR) / (heard + HEARD_PRIOR);
-        self.let_through = (self.let_through * (1.0 + THINNING * (1.0 - pressure))).clamp(LEAST_THROUGH, 1.0);
+        let [late, heard] =
+            [&self.seen.pressure.total, &self.seen.pressure.weight].map(|s| s.read(now, SECOND));
+        let ease = 1.0 - (late + HEARD_PRIOR) / (heard + HEARD_PRIOR);
+        self.let_through = (self.let_through * (1.0 + THINNING * ease)).clamp(LEAST_THROUGH, 1.0);
         // Where a balancer has several upstreams to itself, its in-flight limit alone is fine enough.
         let own = self.order.len() as f64 / self.terms.balancers as f64;
         let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + own.powi(4));
@@ -343,7 +269,7 @@
         let mut scored: Vec<_> = rows.into_iter().zip(ready).map(score).collect();
         scored.sort_by(|a, b| b.0.total_cmp(&a.0));
         let priorities: Vec<f64> = scored.iter().map(|s| s.0).collect();
-        let chances = project(&priorities, top(scored.len(), self.terms.balancers));
+        let chances = project(&priorities, top(scored.len()));
         let mut left = self.chance.generate::<f64>();
         let beyond = |chance: &f64| {
             left -= chance;
@@ -362,40 +288,31 @@
     fn features(&self, now: Micros, ticket: &Ticket, ready: &[usize]) -> Vec<[f64; FEATURES]> {
         let ups = &self.upstreams;
         let gather = |known: &dyn Fn(&Upstream) -> Option<f64>| -> Vec<f64> {
-            relative(&ready.iter().map(|&u| known(&ups[u])).collect::<Vec<_>>())
+            relative(&ready.iter().map(|&u| known(&ups[u])).collect::<Vec<_>>(), WIDEST)
         };
         let (heard, (_, sharers)) = (self.heard_within(now), self.circle());
         // Few answers tell little: they pull what is usual for the machine type their way by their number.
         let all = self.seen.answers.read();
         let shrunk = |up: &Upstream, own: Option<f64>, count: f64| {
-            let usual = self.kinds.get(&up.kind).and_then(Mean::read).or(all);
-            match (own, usual) {
-                (Some(own), Some(usual)) => Some((count * own + KIND_ANSWERS * usual) / (count + KIND_ANSWERS)),
-                (own, usual) => own.or(usual),
-            }
+            let usual = self.kinds.get(&up.kind).and_then(Mean::read).or(all).or(own)?;
+            Some((count * own.unwrap_or(usual) + KIND_ANSWERS * usual) / (count + KIND_ANSWERS))
         };
-        let latency =
-            gather(&|up| shrunk(up, up.latency(now), up.answers.weight.read(now, heard)));
+        let latency = gather(&|up| shrunk(up, up.latency(now), up.answers.weight.read(now, heard)));
         let listed = self.terms.weights_listed;
         let capacity = gather(&|up| match listed {
             true => up.weight.read(),
             // Served rate per own request in flight is the inverse of the answer time.
-            false => shrunk(up, up.lasting_answers.read(), up.lasting_answers.weight.read(now, LASTING)).map(f64::recip),
+            false => shrunk(up, up.lasting_answers.read(), up.lasting_answers.weight.read(now, LASTING))
+                .map(f64::recip),
         });
         // An old report speaks of a load that is gone.
         let fresh = |u: usize| (-(now.saturating_sub(ups[u].reported) as f64) / heard * 2.0).exp();
         let queue = gather(&|up| up.queue.map(|queue| queue + 1.0));
         let busy = gather(&|up| up.utilisation.map(|busy| busy + 0.1));
         // Own work in flight, and of what is reported the part that is the other balancers'.
-        let others = 1.0 - 1.0 / sharers;
-        let load: Vec<_> = ready
-            .iter()
-            .map(|&u| {
-                let reported = others * fresh(u) * ups[u].queue.unwrap_or(0.0);
-                Some(0.5 + ups[u].work_in_flight + reported)
-            })
-            .collect();
-        let in_flight = relative(&load);
+        let others = |u: usize| (1.0 - 1.0 / sharers) * fresh(u) * ups[u].queue.unwrap_or(0.0);
+        let load = |&u: &usize| Some(0.5 + ups[u].work_in_flight + others(u));
+        let in_flight = relative(&ready.iter().map(load).collect::<Vec<_>>(), WIDEST);
         let met = |u: usize| ticket.homes.iter().find(|home| home.0 == u).map_or(0.0, |home| home.1);
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
         let row = |(i, &u): (usize, &usize)| {
@@ -410,12 +327,8 @@
         if !self.permitted(now, ticket, u) {
             return false;
         }
-        if self.is_cold(now, u) {
-            let (span, _) = self.cold_budget(now, u);
-            let (spent_in, spent) = &mut self.upstreams[u].cold_spent;
-            *spent = if *spent_in == span { *spent + ticket.work } else { ticket.work };
-            *spent_in = span;
-        }
+        let (span, spent, _) = self.cold_budget(now, u);
+        self.upstreams[u].cold_spent = (span, spent + ticket.work);
         let upstream = &mut self.upstreams[u];
         upstream.in_flight += 1;
         upstream.work_in_flight += ticket.work;
@@ -426,7 +339,7 @@
         ticket.dispatches.push(Dispatch { upstream: u, sent: now, out: true, may_have_run: true, scene });
         self.host.dispatch(&ticket.id, &upstream.id, ticket.hard_stop);
         if let Some(patience) = self.patience(now, ticket) {
-            self.last_alarm += 1;
+            self.last_alarm = self.last_alarm.max(PUMP_ALARM) + 1;
             self.alarms.insert(self.last_alarm, Rc::clone(&ticket.id));
             self.host.wake(patience, self.last_alarm);
         }
@@ -454,23 +367,17 @@
                 same && now < d.sent + window
             }),
         };
-        open && again && upstream.ready && (!self.is_cold(now, u) || self.cold_room(now, u, ticket.work))
+        let (_, spent, budget) = self.cold_budget(now, u);
+        let warm = !self.is_cold(now, u) || spent + ticket.work <= budget + COLD_ROUNDING;
+        open && again && upstream.ready && warm
     }
 
-    pub fn dispatch_ended(
-        &mut self,
-        now: Micros,
-        id: &str,
-        n: usize,
-        settled: bool,
-        how: Ending,
-        took: Micros,
-    ) {
+    pub fn dispatch_ended(&mut self, now: Micros, id: &str, n: usize, last: bool, how: Ending, took: Micros) {
         let Some(mut ticket) = self.tickets.remove(id) else {
             return;
         };
         self.ended(now, &mut ticket, n, how, took);
-        if settled {
+        if last {
             self.close(now, ticket, n);
         } else if ticket.dispatches.iter().any(|d| d.out) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
@@ -554,60 +461,46 @@
         launched > 0 && now < launched + self.terms.warming.warm_after
     }
 
-    /// The span of a cold upstream's life that the present belongs to, and what may be sent in it. Its full
-    /// capacity is not told; it is taken to be what this balancer's warm upstreams are seen to bear, or a
-    /// part of what arrives where none is warm. Where that is less than one ticket, as many of the
-    /// balancers as the share asks for may send one, by own chance drawn anew for each span: what is not used
-    /// is gone, so hundreds of lone tickets never come together.
-    fn cold_budget(&self, now: Micros, u: usize) -> (u64, f64) {
+    /// The span of an upstream's life that the present belongs to, what was sent in it and what may be while
+    /// it is cold. Its capacity is not told; it is taken to be what this balancer's warm upstreams bear, or a
+    /// part of what arrives where none is warm. Where that is less than a ticket, own chance, drawn for each
+    /// span, lets some balancers send one: what is not used is gone, so lone tickets never come together.
+    fn cold_budget(&self, now: Micros, u: usize) -> (u64, f64, f64) {
         let (warming, upstream) = (&self.terms.warming, &self.upstreams[u]);
         let age = now.saturating_sub(upstream.launched);
-        let grown = warming.starts_at
-            + (1.0 - warming.starts_at) * (age as f64 / warming.warm_after as f64).min(1.0);
-        let lived = (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING);
+        let grown =
+            warming.starts_at + (1.0 - warming.starts_at) * (age as f64 / warming.warm_after as f64).min(1.0);
         let borne = match self.warm {
             0 => warming.starts_at * self.seen.arrivals.read(now, LASTING),
             _ => self.seen.served.read(now, LASTING),
         };
-        let each = borne / lived / self.circle().0.min(self.warm).max(1) as f64;
+        let each = borne / self.lived(now) / self.circle().0.min(self.warm).max(1) as f64;
         let span = age / warming.span.max(1);
         let chance = mixed(mixed(self.salt, upstream.hash), span) as f64 / u64::MAX as f64;
         let budget = COLD_MARGIN * warming.multiple * grown * each * warming.span as f64;
-        (span, (budget + chance).floor())
+        let (spent_in, spent) = upstream.cold_spent;
+        (span, if spent_in == span { spent } else { 0.0 }, (budget + chance).floor())
     }
 
-    fn cold_room(&self, now: Micros, u: usize, work: f64) -> bool {
-        let (span, budget) = self.cold_budget(now, u);
-        let (spent_in, spent) = self.upstreams[u].cold_spent;
-        let spent = if spent_in == span { spent } else { 0.0 };
-        spent + work <= budget + COLD_ROUNDING
-    }
-
-    /// The candidates to draw from, and one suspect due for a trial. They are the likely homes of the ticket's
-    /// key and the first of the own order that are open; where one is cold, full or suspected, the next takes
-    /// its place. Suspicion leaves a few in: when all seem ill, the cause lies elsewhere.
+    /// The candidates to draw from, and one suspect due for a trial: the likely homes of the ticket's key and
+    /// the first of the own order that are open; where one is cold, full or suspected, the next takes its
+    /// place. Suspicion leaves a few in: when all seem ill, the cause lies elsewhere.
     fn candidates(&mut self, now: Micros, ticket: &Ticket) -> (Vec<usize>, Option<usize>) {
         // What is out may be of any use case: the slowest one sets how long silence is usual.
         let expected = (0..self.paces.len()).map(|c| self.expected(c)).fold(0.0, f64::max);
         let failed = self.seen.failed.read(now, RECENT);
         let usual = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
-        let (most, _) = self.circle();
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
-        let homes = &ticket.homes;
-        let most = most + homes.len();
+        let mut open: Vec<usize> = ticket.homes.iter().map(|home| home.0).collect();
+        let most = self.circle().0 + open.len();
+        open.extend(self.order.iter().filter(|u| ticket.homes.iter().all(|home| home.0 != **u)));
         let (mut ready, mut out, mut met) = (Vec::new(), Vec::new(), Vec::new());
-        for place in 0..homes.len() + self.order.len() {
+        for u in open {
             if ready.len() >= most {
                 break;
-            }
-            let u = if place < homes.len() { homes[place].0 } else { self.order[place - homes.len()] };
-            if place >= homes.len() && homes.iter().any(|home| home.0 == u) {
-                continue;
-            }
-            if !self.permitted(now, ticket, u) || !self.has_room(now, u) {
+            } else if !self.permitted(now, ticket, u) || !self.has_room(now, u) {
                 continue;
-            }
-            if ticket.dispatches.iter().any(|d| d.upstream == u) {
+            } else if ticket.dispatches.iter().any(|d| d.upstream == u) {
                 met.push(u);
             } else if self.suspect(now, u, expected, usual) {
                 out.push(u);
@@ -638,8 +531,8 @@
         (ready, trial)
     }
 
-    /// Where a key's tickets likely went before, and how likely: all balancers rank the warm upstreams alike by
-    /// key, without speaking. The larger a key's part of the traffic, the more homes it has, of which this
+    /// Where a key's tickets likely went before, and how likely: all balancers rank the upstreams alike by key,
+    /// without speaking. The larger a key's part of the traffic, the more homes it has, of which this
     /// balancer keeps to the first in its own order.
     fn homes(&self, now: Micros, key: Option<u64>) -> Vec<(usize, f64)> {
         let Some(key) = key.filter(|_| self.terms.keys_kept) else {
@@ -648,8 +541,8 @@
         let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, KEY_LASTING) - KEY_ALONE;
         let share = met / (self.seen.keyed.read(now, KEY_LASTING) + KEY_DOUBT);
         let rank = |&(u, _): &(usize, f64)| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
-        // Beyond the circle an upstream's load is known from the list alone: where that does not tell it, homes
-        // shared with all others would be overrun unseen. A cold upstream has met no key.
+        // Beyond the circle an upstream's load is known from the list alone: where that is silent, homes shared
+        // with all others would be overrun unseen. A cold upstream has met no key.
         let among = if self.terms.loads_listed { self.order.len() } else { self.circle().0 };
         let full = KEY_SPREAD * share * among as f64;
         let warm = self.order.iter().take(among).filter(|&&u| !self.is_cold(now, u));
@@ -719,11 +612,15 @@
     /// The horizon of what is heard of one upstream: where a balancer sees little, long enough for some
     /// answers from each that it keeps to, or chance would pass for load.
     fn heard_within(&self, now: Micros) -> f64 {
-        let lived = (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING);
-        let rate = self.seen.arrivals.read(now, LASTING) / lived;
+        let rate = self.seen.arrivals.read(now, LASTING) / self.lived(now);
         (HEARD_EACH * self.circle().0 as f64 / rate.max(1e-9)).clamp(RECENT, LASTING)
     }
 
+    /// The span that sums over `LASTING` stand for.
+    fn lived(&self, now: Micros) -> f64 {
+        (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING)
+    }
+
     /// The span that sums over `RECENT` stand for. Just after a start they have not filled: read as if they
     /// had, they would make the fleet look idle and the queue endless.
     fn watched(&self, now: Micros) -> f64 {
@@ -810,9 +707,7 @@
         };
         let usual = self.terms.allowances[account] / self.terms.balancers as f64 * RECENT / SECOND;
         let within = admitted.read(now, RECENT) < usual + usual.sqrt();
-        if within {
-            admitted.add(now, RECENT, 1.0);
-        }
+        admitted.add(now, RECENT, f64::from(u8::from(within)));
         within
     }
 
@@ -849,15 +744,11 @@
             }
             return;
         }
-        let promised = self.terms.use_cases[ticket.use_case].promised_time as f64;
         // A hung or broken upstream says nothing of the others' load.
-        let pressure = match ending {
-            Ending::Succeeded => Some((took as f64 / promised / AT_EASE).min(MOST_PRESSURE)),
-            Ending::TurnedAway => Some(REFUSED_PRESSURE),
-            _ => None,
-        };
-        if let Some(pressure) = pressure {
-            self.seen.pressure.add(now, SECOND, pressure, 1.0);
+        if matches!(ending, Ending::Succeeded | Ending::TurnedAway) {
+            let ease = AT_EASE * self.terms.use_cases[ticket.use_case].promised_time as f64;
+            let late = if ending == Ending::Succeeded { took as f64 / ease } else { MOST_PRESSURE };
+            self.seen.pressure.add(now, SECOND, late.min(MOST_PRESSURE), 1.0);
         }
         // Use cases are put on one scale by how their usual answer times compare.
         let pace = &mut self.paces[ticket.use_case];
@@ -947,7 +838,7 @@
     /// normalisation and projection; nothing where it is no longer among the top.
     fn slope(&self, scene: &Scene) -> Option<(f64, [f64; FEATURES])> {
         let raw: Vec<f64> = scene.rows.iter().map(|row| dot(&self.weights, row)).collect();
-        let m = top(raw.len(), self.terms.balancers);
+        let m = top(raw.len());
         let in_rest = |place: usize| raw.iter().filter(|other| **other > raw[place]).count() >= m;
         if in_rest(scene.drawn) {
             return None;
@@ -971,17 +862,9 @@
     }
 }
 
-/// How many of the ready may be drawn: together the balancers cover the fleet twice.
-fn top(ready: usize, balancers: usize) -> usize {
-    ready
-}
-
-fn softplus(x: f64) -> f64 {
-    if x > 30.0 { x } else { x.exp().ln_1p() }
-}
-
-fn dot(weights: &[f64; FEATURES], row: &[f64; FEATURES]) -> f64 {
-    weights.iter().zip(row).map(|(w, s)| w * s).sum()
+/// How many of the candidates may be drawn: all but the worst quarter, as the candidates themselves are few.
+fn top(ready: usize) -> usize {
+    (3 * ready).div_ceil(4).max(2).min(ready)
 }
 
 /// Euclidean projection of falling priorities onto the chances of the first m (eq. 4 of the paper).
@@ -992,28 +875,3 @@
     let chance = |(place, o): (usize, &f64)| if place < m { o / sum + share } else { 0.0 };
     priorities.iter().enumerate().map(chance).collect()
 }
-
-/// Each value as the bounded logarithm of its ratio to the mean; what is not known counts as the mean.
-fn relative(values: &[Option<f64>]) -> Vec<f64> {
-    let known = values.iter().flatten().count().max(1) as f64;
-    let mean = values.iter().flatten().sum::<f64>() / known;
-    let log = |value: &Option<f64>| match value {
-        Some(value) if mean > 0.0 => (value / mean).max(1e-3).ln().clamp(-WIDEST, WIDEST),
-        _ => 0.0,
-    };
-    values.iter().map(log).collect()
-}
-
-/// The ring from a starting point on, in steps that never come round to it.
-fn scattered(ring: Vec<usize>, from: f64) -> Vec<usize> {
-    let mut left: Vec<Option<usize>> = ring.iter().map(|&u| Some(u)).collect();
-    let step = |n: usize| ((from + n as f64 * RING_STEP).fract() * ring.len() as f64) as usize;
-    let mut order: Vec<usize> = (0..2 * ring.len()).filter_map(|n| left[step(n)].take()).collect();
-    order.extend(left.into_iter().flatten());
-    order
-}
-
-/// A fixed mixing of two numbers.
-fn mixed(a: u64, b: u64) -> u64 {
-    WyRand::new_seed(a.rotate_left(32) ^ b).generate()
-}
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -68,12 +68,23 @@
     };
     let mut balancer = Balancer::start(diary.clone(), 7, terms, START_AT);
     for u in 0..upstreams {
-        balancer.list_entry(&format!("u{u}"), 0, 0, u as u64 % 2, true, 1.0, 0);
+        balancer.list_entry(&format!("u{u}"), 0, 0, u as u64 % 2, 1.0, 0);
     }
     balancer.list_ends(START_AT);
     (balancer, diary)
 }
 
+/// One of so many balancers before so many upstreams.
+fn one_of_many(number: usize, balancers: usize, upstreams: usize) -> Balancer<Diary> {
+    let (mut balancer, _) = balancer(Effect::Redoable, 0);
+    (balancer.terms.own_number, balancer.terms.balancers) = (number, balancers);
+    for u in 0..upstreams {
+        balancer.list_entry(&format!("u{u}"), 0, 0, 0, 1.0, 0);
+    }
+    balancer.list_ends(START_AT);
+    balancer
+}
+
 fn arrive(balancer: &mut Balancer<Diary>, now: Micros, id: &str) {
     balancer.ticket_arrived(now, id, 0, 0, None, now + 1_000 * MS, None);
 }
@@ -104,12 +115,12 @@
 }
 
 #[rstest]
-#[case(1, 4, 1)]
-#[case(12, 4, 6)]
-#[case(3, 9, 2)]
-#[case(5, 1, 5)]
-fn top_covers_the_fleet_twice(#[case] ready: usize, #[case] balancers: usize, #[case] m: usize) {
-    assert_eq!(top(ready, balancers), m);
+#[case(1, 1)]
+#[case(2, 2)]
+#[case(3, 3)]
+#[case(12, 9)]
+fn top_leaves_the_worst_quarter(#[case] ready: usize, #[case] m: usize) {
+    assert_eq!(top(ready), m);
 }
 
 #[rstest]
@@ -146,7 +157,7 @@
 
 #[rstest]
 fn an_unheard_upstream_counts_as_the_mean() {
-    assert_eq!(relative(&[Some(2.0), None, Some(2.0)]), [0.0, 0.0, 0.0]);
+    assert_eq!(relative(&[Some(2.0), None, Some(2.0)], WIDEST), [0.0, 0.0, 0.0]);
 }
 
 #[rstest]
@@ -183,12 +194,15 @@
 }
 
 #[rstest]
-#[case::told(false, false)]
-#[case::absent(true, true)]
-fn nothing_goes_to_what_drains_or_is_gone(#[case] complete: bool, #[case] ready: bool) {
+#[case::told(false)]
+#[case::absent(true)]
+fn nothing_goes_to_what_drains_or_is_gone(#[case] complete: bool) {
     let (mut balancer, _) = balancer(Effect::Redoable, 2);
     balancer.list_begins(complete);
-    balancer.list_entry(if complete { "u0" } else { "u1" }, 0, 0, 0, ready, 1.0, 0);
+    match complete {
+        true => balancer.list_entry("u0", 0, 0, 0, 1.0, 0),
+        false => balancer.list_drains("u1"),
+    }
     assert!(!balancer.permitted(START_AT, &ticket(&[], false), 1));
     assert!(balancer.permitted(START_AT, &ticket(&[], false), 0));
 }
@@ -196,7 +210,7 @@
 #[rstest]
 fn a_cold_upstream_gets_little_even_when_alone() {
     let (mut balancer, diary) = balancer(Effect::Redoable, 0);
-    balancer.list_entry("cold", 0, 0, 0, true, 1.0, START_AT);
+    balancer.list_entry("cold", 0, 0, 0, 1.0, START_AT);
     balancer.list_ends(START_AT);
     for n in 0..200 {
         balancer.place(START_AT + n * 10 * MS, &mut ticket(&[], false));
@@ -224,7 +238,7 @@
 #[rstest]
 fn many_balancers_do_not_send_one_each() {
     let (mut balancer, diary) = balancer(Effect::Redoable, 6);
-    balancer.terms.balancers = 20;
+    (balancer.terms.balancers, balancer.let_through) = (20, 1.0);
     (0..6).for_each(|n| arrive(&mut balancer, START_AT, &n.to_string()));
     assert_eq!(diary.count("dispatch"), 2);
 }
@@ -304,14 +318,112 @@
 
 #[rstest]
 fn balancers_agree_on_the_homes_of_a_key() {
-    let keyed = Ticket { key: Some(4711), ..ticket(&[], false) };
-    let mets = [3, 9].map(|seed| {
+    let homes = [3, 9].map(|seed| {
         let (mut balancer, _) = balancer(Effect::Redoable, 5);
         balancer.chance = WyRand::new_seed(seed);
-        balancer.features(START_AT, &keyed, &[0, 1, 2, 3, 4]).iter().map(|row| row[6]).collect::<Vec<_>>()
+        balancer.keys[mixed(4711, 0) as usize % KEY_SUMS].add(START_AT, KEY_LASTING, 1.0);
+        balancer.homes(START_AT, Some(4711))
     });
-    assert_eq!(mets[0], mets[1]);
-    assert!((mets[0].iter().sum::<f64>() - 11.0 / 6.0).abs() < 1e-9);
+    assert_eq!(homes[0], homes[1]);
+    assert!(homes[0].len() >= KEY_RANKS && homes[0][0].1 > homes[0][2].1);
+}
+
+/// A tenth of the traffic would overrun a few homes: it has many, and no balancer keeps to all of them.
+#[rstest]
+fn a_popular_key_has_many_homes_of_which_each_balancer_keeps_a_few() {
+    let mut homes: Vec<usize> = Vec::new();
+    for number in 0..100 {
+        let mut balancer = one_of_many(number, 100, 200);
+        balancer.terms.loads_listed = true;
+        balancer.seen.keyed.add(START_AT, KEY_LASTING, 400.0);
+        balancer.keys[mixed(4711, 0) as usize % KEY_SUMS].add(START_AT, KEY_LASTING, 40.0);
+        let kept = balancer.homes(START_AT, Some(4711));
+        assert!(kept.len() <= balancer.circle().0.max(HOMES_KEPT));
+        homes.extend(kept.iter().map(|home| home.0));
+    }
+    homes.sort_unstable();
+    homes.dedup();
+    assert!(homes.len() > 50);
+}
+
+#[rstest]
+fn without_listed_loads_homes_stay_in_the_circle() {
+    let balancer = one_of_many(7, 400, 100);
+    let kept = balancer.circle().0;
+    let homes = balancer.homes(START_AT, Some(4711));
+    assert!(homes.iter().all(|home| balancer.order[..kept].contains(&home.0)));
+}
+
+/// All picking the same, most upstreams idle and a few drown: every one has as many balancers as another.
+#[rstest]
+#[case(800, 110)]
+#[case(400, 250)]
+#[case(4, 13)]
+fn many_balancers_spread_over_all_upstreams(#[case] balancers: usize, #[case] upstreams: usize) {
+    let mut kept = vec![0; upstreams];
+    for number in 0..balancers {
+        let balancer = one_of_many(number, balancers, upstreams);
+        balancer.order[..balancer.circle().0].iter().for_each(|&u| kept[u] += 1);
+    }
+    let (least, most) = (kept.iter().min().unwrap(), kept.iter().max().unwrap());
+    assert!(*least > 0 && most - least <= 4, "{least} to {most}");
+}
+
+/// Lone tickets of hundreds of balancers within one fall time would push a cold upstream over; none at all
+/// would never warm it.
+#[rstest]
+#[case::many(800)]
+#[case::few(4)]
+#[case::one(1)]
+fn a_cold_upstream_is_sent_its_budget_by_all_together(#[case] balancers: usize) {
+    let (span, borne_by_all) = (2.0 * SECOND, 800.0);
+    let mut sent = 0.0;
+    for number in 0..balancers {
+        let mut balancer = one_of_many(number, balancers, 20);
+        balancer.salt = mixed(number as u64, 7);
+        balancer.warm = 20;
+        balancer.upstreams[0].launched = START_AT;
+        let rate = borne_by_all / balancers as f64 / SECOND;
+        balancer.started = START_AT - 20_000 * MS;
+        balancer.seen.served.add(START_AT, LASTING, rate * LASTING);
+        if balancer.order[..balancer.circle().0].contains(&0) {
+            let (_, _, budget) = balancer.cold_budget(START_AT, 0);
+            sent += budget;
+        }
+    }
+    let falls_at = 3.0 * 0.2 * borne_by_all / 20.0 * span / SECOND;
+    assert!(sent > 0.1 * falls_at && sent < 0.8 * falls_at, "{sent} of {falls_at}");
+}
+
+/// All asking at once would crowd a roster that does not grow with the fleet.
+#[rstest]
+fn a_large_fleet_spreads_its_asking_for_the_list() {
+    let spreads = [1, 4, 900].map(|balancers| one_of_many(0, balancers, 0).follow_spread().unwrap());
+    assert_eq!(spreads[0], 0);
+    assert!(spreads[1] < 1_000 * MS && spreads[2] > 5_000 * MS && spreads[2] < 8_000 * MS);
+}
+
+/// What no in-flight limit of less than a ticket could hold back, a share let through does.
+#[rstest]
+#[case::late(3.0, true)]
+#[case::at_ease(0.3, false)]
+fn a_large_fleet_lets_a_smaller_share_through_under_pressure(#[case] pressure: f64, #[case] thinned: bool) {
+    let mut balancer = one_of_many(0, 800, 100);
+    for n in 0..40 {
+        balancer.seen.pressure.add(START_AT, SECOND, pressure, 1.0);
+        arrive(&mut balancer, START_AT + n, &n.to_string());
+    }
+    assert_eq!(balancer.let_through < START_THROUGH, thinned);
+}
+
+#[rstest]
+fn unheard_upstreams_are_taken_for_their_machine_type() {
+    let (mut balancer, _) = balancer(Effect::Redoable, 2);
+    balancer.upstreams[1].kind = 1;
+    balancer.kinds.entry(0).or_default().add(START_AT, LASTING, 100_000.0, 4.0);
+    balancer.kinds.entry(1).or_default().add(START_AT, LASTING, 300_000.0, 4.0);
+    let rows = balancer.features(START_AT, &ticket(&[], false), &[0, 1]);
+    assert!(rows[0][1] < 0.0 && rows[1][1] > 0.0);
 }
 
 #[rstest]
--- a/src/known.rs
+++ b/src/known.rs
@@ -1,9 +1,12 @@
 //! What a balancer keeps of upstreams, tickets and the fleet: types, no decisions.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 
-use crate::Micros;
+use nanorand::WyRand;
+
 use crate::fading::{Fading, Mean};
+use crate::{Host, Micros, Terms};
 
 /// Features of an upstream for one ticket, each about 0 for an average one: constant, own latency, reported
 /// utilisation, own in flight, capacity, same zone, key likely met, reported queue.
@@ -95,6 +98,77 @@
     pub(crate) further_succeeded: Fading,
 }
 
+/// One balancer: what it was told, and all that it keeps.
+pub struct Balancer<H: Host> {
+    pub(crate) host: H,
+    pub(crate) terms: Terms,
+    pub(crate) chance: WyRand,
+    pub(crate) upstreams: Vec<Upstream>,
+    pub(crate) by_id: HashMap<Rc<str>, usize>,
+    /// All ready upstreams in this balancer's own order, the first of which it keeps to.
+    pub(crate) order: Vec<usize>,
+    pub(crate) keys: Vec<Fading>,
+    /// Answer times by machine type: what is heard of one tells of the others.
+    pub(crate) kinds: HashMap<u64, Mean>,
+    pub(crate) tickets: HashMap<Rc<str>, Ticket>,
+    pub(crate) held: Vec<Ticket>,
+    pub(crate) alarms: HashMap<u64, Rc<str>>,
+    pub(crate) last_alarm: u64,
+    pub(crate) pump_set: bool,
+    pub(crate) failed_follows: u32,
+    /// Warm ready upstreams when last counted.
+    pub(crate) warm: usize,
+    /// Own chance that stays for the whole life.
+    pub(crate) salt: u64,
+    /// Share of tickets let through.
+    pub(crate) let_through: f64,
+    pub(crate) weights: [f64; FEATURES],
+    pub(crate) samples: Vec<(Scene, f64)>,
+    pub(crate) updated: Micros,
+    pub(crate) started: Micros,
+    pub(crate) paces: Vec<Pace>,
+    pub(crate) seen: Seen,
+    pub(crate) admitted: Vec<Fading>,
+}
+
+impl<H: Host> Balancer<H> {
+    /// One that has seen nothing yet.
+    pub(crate) fn blank(
+        host: H,
+        chance: WyRand,
+        terms: Terms,
+        weights: [f64; FEATURES],
+        now: Micros,
+    ) -> Self {
+        Self {
+            host,
+            chance,
+            upstreams: Vec::new(),
+            by_id: HashMap::new(),
+            order: Vec::new(),
+            keys: Vec::new(),
+            kinds: HashMap::new(),
+            tickets: HashMap::new(),
+            held: Vec::new(),
+            alarms: HashMap::new(),
+            last_alarm: 0,
+            pump_set: false,
+            failed_follows: 0,
+            warm: 0,
+            salt: 0,
+            let_through: 1.0,
+            weights,
+            samples: Vec::new(),
+            updated: now,
+            started: now,
+            paces: vec![Pace::default(); terms.use_cases.len()],
+            seen: Seen::default(),
+            admitted: vec![Fading::default(); terms.allowances.len()],
+            terms,
+        }
+    }
+}
+
 impl Upstream {
     pub(crate) fn release(&mut self, work: f64) {
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,12 @@
 //! Decisions of a load-balancing proxy: [`Balancer`] is told what happens and acts through a [`Host`].
 //! This file holds the words they share and decides nothing.
 
+mod arithmetic;
 mod decide;
 mod fading;
 mod known;
 
-pub use decide::Balancer;
+pub use known::Balancer;
 
 /// A moment or a span in whole microseconds.
 pub type Micros = u64;
