--- a/src/decide.rs
+++ b/src/decide.rs
@@ -98,7 +98,7 @@
 const LEAST_THROUGH: f64 = 0.1;
 const START_THROUGH: f64 = 0.5;
 const HEARD_PRIOR: f64 = 0.5;
-/// How often held tickets are looked at when nothing else happens.
+/// How often held tickets are looked at.
 const PUMP_EVERY: Micros = 10_000;
 /// Part of the time a ticket has to spare that the queue before it may take, and beyond its account's share:
 /// a longer queue would stand for good, make every answer late and serve no more.
@@ -142,9 +142,7 @@
 
     /// The list failed or broke: the previous one stands, and we ask anew after a growing, scattered wait.
     pub fn list_failed(&mut self) {
-        let Some((within, spread)) = self.terms.ask_within.zip(self.follow_spread()) else {
-            return;
-        };
+        let Some((within, spread)) = self.terms.ask_within.zip(self.follow_spread()) else { return };
         let wait = spread.max((within / 64) << self.failed_follows.min(4)) as f64;
         self.failed_follows += 1;
         self.host.wake((wait * (0.5 + self.chance.generate::<f64>() / 2.0)) as Micros, FOLLOW_ALARM);
@@ -373,9 +371,7 @@
     }
 
     pub fn dispatch_ended(&mut self, now: Micros, id: &str, n: usize, last: bool, how: Ending, took: Micros) {
-        let Some(mut ticket) = self.tickets.remove(id) else {
-            return;
-        };
+        let Some(mut ticket) = self.tickets.remove(id) else { return };
         self.ended(now, &mut ticket, n, how, took);
         if last {
             self.close(now, ticket, n);
@@ -531,7 +527,7 @@
         (ready, trial)
     }
 
-    /// Where a key's tickets likely went before, and how likely: all balancers rank the upstreams alike by key,
+    /// Where a key's tickets likely went before, and how likely: all balancers rank upstreams alike by key,
     /// without speaking. The larger a key's part of the traffic, the more homes it has, of which this
     /// balancer keeps to the first in its own order.
     fn homes(&self, now: Micros, key: Option<u64>) -> Vec<(usize, f64)> {
@@ -541,8 +537,8 @@
         let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, KEY_LASTING) - KEY_ALONE;
         let share = met / (self.seen.keyed.read(now, KEY_LASTING) + KEY_DOUBT);
         let rank = |&(u, _): &(usize, f64)| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
-        // Beyond the circle an upstream's load is known from the list alone: where that is silent, homes shared
-        // with all others would be overrun unseen. A cold upstream has met no key.
+        // Beyond the circle only the list tells an upstream's load: where it does not, homes shared with all
+        // others would be overrun unseen. A cold upstream has met no key.
         let among = if self.terms.loads_listed { self.order.len() } else { self.circle().0 };
         let full = KEY_SPREAD * share * among as f64;
         let warm = self.order.iter().take(among).filter(|&&u| !self.is_cold(now, u));
@@ -644,12 +640,9 @@
     /// Whether all limits together leave room, with their root for chance: where balancers are many, each
     /// one's part of an upstream is less than a ticket, and one each would be too much.
     fn pool_has_room(&self, now: Micros) -> bool {
-        let (mut held, mut limit) = (0.0, 0.0);
-        let kept = self.order.iter().filter(|&&u| !self.upstreams[u].suspected).take(self.circle().0);
-        for &u in kept {
-            held += self.upstreams[u].in_flight as f64;
-            limit += self.limit(now, u);
-        }
+        let known = || self.order.iter().filter(|&&u| !self.upstreams[u].suspected);
+        let held: f64 = known().map(|&u| self.upstreams[u].in_flight as f64).sum();
+        let limit: f64 = known().take(self.circle().0).map(|&u| self.limit(now, u)).sum();
         held < f64::max(limit + (limit / self.terms.balancers as f64).sqrt(), 2.0)
     }
 
@@ -702,9 +695,7 @@
 
     /// Whether a ticket lies within this balancer's part of its account's allowance.
     fn within_share(&mut self, now: Micros, account: usize) -> bool {
-        let Some(admitted) = self.admitted.get_mut(account) else {
-            return true;
-        };
+        let Some(admitted) = self.admitted.get_mut(account) else { return true };
         let usual = self.terms.allowances[account] / self.terms.balancers as f64 * RECENT / SECOND;
         let within = admitted.read(now, RECENT) < usual + usual.sqrt();
         admitted.add(now, RECENT, f64::from(u8::from(within)));
@@ -729,9 +720,7 @@
 
     /// Takes in how a dispatch ended.
     fn ended(&mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros) {
-        let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else {
-            return;
-        };
+        let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else { return };
         let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
@@ -807,16 +796,12 @@
         for (_, payoff) in &samples {
             self.seen.payoffs.add(now, LASTING, *payoff, 1.0);
         }
-        let Some(usual) = self.seen.payoffs.read() else {
-            return;
-        };
+        let Some(usual) = self.seen.payoffs.read() else { return };
         for _ in 0..EPOCHS {
             let mut step = [0.0; FEATURES];
             for (scene, payoff) in &samples {
                 let advantage = payoff - usual;
-                let Some((chance, slope)) = self.slope(scene) else {
-                    continue;
-                };
+                let Some((chance, slope)) = self.slope(scene) else { continue };
                 let ratio = chance / scene.chance;
                 if (ratio < 1.0 - CLIP && advantage < 0.0) || (ratio > 1.0 + CLIP && advantage > 0.0) {
                     continue;
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -71,6 +71,7 @@
         balancer.list_entry(&format!("u{u}"), 0, 0, u as u64 % 2, 1.0, 0);
     }
     balancer.list_ends(START_AT);
+    balancer.let_through = 1.0;
     (balancer, diary)
 }
 
@@ -238,7 +239,7 @@
 #[rstest]
 fn many_balancers_do_not_send_one_each() {
     let (mut balancer, diary) = balancer(Effect::Redoable, 6);
-    (balancer.terms.balancers, balancer.let_through) = (20, 1.0);
+    balancer.terms.balancers = 20;
     (0..6).for_each(|n| arrive(&mut balancer, START_AT, &n.to_string()));
     assert_eq!(diary.count("dispatch"), 2);
 }
@@ -409,6 +410,7 @@
 #[case::at_ease(0.3, false)]
 fn a_large_fleet_lets_a_smaller_share_through_under_pressure(#[case] pressure: f64, #[case] thinned: bool) {
     let mut balancer = one_of_many(0, 800, 100);
+    balancer.let_through = START_THROUGH;
     for n in 0..40 {
         balancer.seen.pressure.add(START_AT, SECOND, pressure, 1.0);
         arrive(&mut balancer, START_AT + n, &n.to_string());
