--- a/src/decide.rs
+++ b/src/decide.rs
@@ -89,10 +89,12 @@
 const LEAST_EACH: f64 = 2.0;
 /// Where a limit counts as one ticket more: above a half, a limit of one could never grow.
 const ROUNDING: f64 = 0.4;
-/// Part of the promised time that answers may take before a smaller share of tickets is let through; how
-/// quickly each ticket moves the share, the most that an answer counts, as a refusal does; the least share,
-/// that at the start, when nothing is known of the upstreams' speeds, and the answers it takes to leave it.
-const AT_EASE: f64 = 0.4;
+/// Answer time over the shortest before a smaller share of tickets is let through, and the parts of the
+/// promised time that it stays between: a fleet may never be seen at ease. How quickly each ticket moves the
+/// share, the most that an answer counts, as a refusal does; the least share, that at the start, when nothing
+/// is known of the upstreams' speeds, and the answers it takes to leave it.
+const AT_EASE: f64 = 1.6;
+const EASE: (f64, f64) = (0.3, 0.5);
 const THINNING: f64 = 0.3;
 const MOST_PRESSURE: f64 = 3.0;
 const LEAST_THROUGH: f64 = 0.1;
@@ -733,15 +735,17 @@
             }
             return;
         }
+        // Use cases are put on one scale by how their usual answer times compare.
+        let pace = &mut self.paces[ticket.use_case];
+        let took = took.max(1) as f64 / ticket.work;
         // A hung or broken upstream says nothing of the others' load.
         if matches!(ending, Ending::Succeeded | Ending::TurnedAway) {
-            let ease = AT_EASE * self.terms.use_cases[ticket.use_case].promised_time as f64;
-            let late = if ending == Ending::Succeeded { took as f64 / ease } else { MOST_PRESSURE };
+            let promised = self.terms.use_cases[ticket.use_case].promised_time as f64;
+            let ease =
+                (AT_EASE * pace.shortest.unwrap_or(promised)).clamp(EASE.0 * promised, EASE.1 * promised);
+            let late = if ending == Ending::Succeeded { took / ease } else { MOST_PRESSURE };
             self.seen.pressure.add(now, SECOND, late.min(MOST_PRESSURE), 1.0);
         }
-        // Use cases are put on one scale by how their usual answer times compare.
-        let pace = &mut self.paces[ticket.use_case];
-        let took = took.max(1) as f64 / ticket.work;
         let all = self.seen.answers.read().unwrap_or(took);
         let mut answer = took * all / pace.lasting.read().unwrap_or(took).max(1.0);
         if ending != Ending::Silent {
@@ -765,9 +769,8 @@
                 self.seen.served.add(now, LASTING, ticket.work);
             }
             self.kinds.entry(upstream.kind).or_default().add(now, LASTING, answer, ticket.work);
-            let mean = upstream.lasting_answers.read().unwrap_or(answer);
-            let shortest = upstream.shortest.get_or_insert(mean);
-            *shortest += if mean < *shortest { QUICKER } else { SLOWER } * (mean - *shortest);
+            follow_shortest(&mut pace.shortest, pace.lasting.read().unwrap_or(took));
+            follow_shortest(&mut upstream.shortest, upstream.lasting_answers.read().unwrap_or(answer));
             upstream.kept.add(now, RECENT, took * ticket.work);
             payoff = (all / answer).min(WIDEST);
         } else {
@@ -847,6 +850,11 @@
     }
 }
 
+fn follow_shortest(shortest: &mut Option<f64>, mean: f64) {
+    let shortest = shortest.get_or_insert(mean);
+    *shortest += if mean < *shortest { QUICKER } else { SLOWER } * (mean - *shortest);
+}
+
 /// How many of the candidates may be drawn: all but the worst quarter, as the candidates themselves are few.
 fn top(ready: usize) -> usize {
     (3 * ready).div_ceil(4).max(2).min(ready)
--- a/src/known.rs
+++ b/src/known.rs
@@ -80,6 +80,7 @@
 pub(crate) struct Pace {
     pub(crate) present: Mean,
     pub(crate) lasting: Mean,
+    pub(crate) shortest: Option<f64>,
     pub(crate) hint: Mean,
 }
 
