--- a/src/decide.rs
+++ b/src/decide.rs
@@ -214,6 +214,13 @@
         (kept, (kept * balancers) as f64 / ready.max(1) as f64)
     }
 
+    /// How many upstreams a ticket looks among. Beyond the circle only the list tells their load: where
+    /// it does not, homes of keys shared with all others would be overrun unseen.
+    fn reach(&self) -> usize {
+        let far = self.terms.keys_kept && self.terms.loads_listed;
+        if far { self.order.len() } else { self.circle().0 }
+    }
+
     #[allow(clippy::too_many_arguments)]
     pub fn ticket_arrived(
         &mut self,
@@ -472,7 +479,7 @@
             0 => warming.starts_at * self.seen.arrivals.read(now, LASTING),
             _ => self.seen.served.read(now, LASTING),
         };
-        let each = borne / self.lived(now) / self.circle().0.min(self.warm).max(1) as f64;
+        let each = borne / self.lived(now) / self.reach().min(self.warm).max(1) as f64;
         let span = age / warming.span.max(1);
         let chance = mixed(mixed(self.salt, upstream.hash), span) as f64 / u64::MAX as f64;
         let budget = COLD_MARGIN * warming.multiple * grown * each * warming.span as f64;
@@ -533,18 +540,14 @@
     /// without speaking. The larger a key's part of the traffic, the more homes it has, of which this
     /// balancer keeps to the first in its own order.
     fn homes(&self, now: Micros, key: Option<u64>) -> Vec<(usize, f64)> {
-        let Some(key) = key.filter(|_| self.terms.keys_kept) else {
-            return Vec::new();
-        };
+        let Some(key) = key.filter(|_| self.terms.keys_kept) else { return Vec::new() };
         let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, KEY_LASTING) - KEY_ALONE;
         let share = met / (self.seen.keyed.read(now, KEY_LASTING) + KEY_DOUBT);
         let rank = |&(u, _): &(usize, f64)| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
-        // Beyond the circle only the list tells an upstream's load: where it does not, homes shared with all
-        // others would be overrun unseen. A cold upstream has met no key.
-        let among = if self.terms.loads_listed { self.order.len() } else { self.circle().0 };
+        let among = self.reach();
         let full = KEY_SPREAD * share * among as f64;
-        let warm = self.order.iter().take(among).filter(|&&u| !self.is_cold(now, u));
-        let mut homes: Vec<(usize, f64)> = warm.enumerate().map(|(place, &u)| (u, place as f64)).collect();
+        let places = self.order.iter().take(among).enumerate();
+        let mut homes: Vec<(usize, f64)> = places.map(|(place, &u)| (u, place as f64)).collect();
         let kept = self.circle().0.max(HOMES_KEPT);
         let count = if full > kept as f64 { full as usize } else { KEY_RANKS + full as usize };
         if count < homes.len() {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -347,6 +347,15 @@
     assert!(homes.len() > 50);
 }
 
+/// Where a release replaces half the fleet, upstreams that are no homes while cold would stay idle.
+#[rstest]
+fn a_cold_upstream_may_be_a_home() {
+    let mut balancer = one_of_many(0, 4, 4);
+    balancer.upstreams[2].launched = START_AT;
+    let homes = (0..20).flat_map(|key| balancer.homes(START_AT, Some(key)));
+    assert!(homes.filter(|home| home.0 == 2).count() > 5);
+}
+
 #[rstest]
 fn without_listed_loads_homes_stay_in_the_circle() {
     let balancer = one_of_many(7, 400, 100);
@@ -373,21 +382,22 @@
 /// Lone tickets of hundreds of balancers within one fall time would push a cold upstream over; none at all
 /// would never warm it.
 #[rstest]
-#[case::many(800)]
-#[case::few(4)]
-#[case::one(1)]
-fn a_cold_upstream_is_sent_its_budget_by_all_together(#[case] balancers: usize) {
+#[case::many(800, false)]
+#[case::many_by_keys(800, true)]
+#[case::few(4, false)]
+#[case::one(1, true)]
+fn a_cold_upstream_is_sent_its_budget_by_all_together(#[case] balancers: usize, #[case] by_keys: bool) {
     let (span, borne_by_all) = (2.0 * SECOND, 800.0);
     let mut sent = 0.0;
     for number in 0..balancers {
         let mut balancer = one_of_many(number, balancers, 20);
-        balancer.salt = mixed(number as u64, 7);
+        (balancer.salt, balancer.terms.loads_listed) = (mixed(number as u64, 7), by_keys);
         balancer.warm = 20;
         balancer.upstreams[0].launched = START_AT;
         let rate = borne_by_all / balancers as f64 / SECOND;
         balancer.started = START_AT - 20_000 * MS;
         balancer.seen.served.add(START_AT, LASTING, rate * LASTING);
-        if balancer.order[..balancer.circle().0].contains(&0) {
+        if balancer.order[..balancer.reach()].contains(&0) {
             let (_, _, budget) = balancer.cold_budget(START_AT, 0);
             sent += budget;
         }
