--- a/src/decide.rs
+++ b/src/decide.rs
@@ -84,9 +84,11 @@
 /// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
 const QUICKER: f64 = 0.1;
 const SLOWER: f64 = 0.002;
-/// In flight against what the shortest answer times would need, and what an upstream is never denied.
+/// In flight against what the shortest answer times would need; what all balancers may always have at an
+/// upstream, or its cores stay idle, and each in all, or one slow answer stops it.
 const STRETCH: f64 = 1.5;
 const LEAST_EACH: f64 = 2.0;
+const LEAST_IN_ALL: f64 = 2.0;
 /// Where a limit counts as one ticket more: above a half, a limit of one could never grow.
 const ROUNDING: f64 = 0.4;
 /// Answer time over the shortest before a smaller share of tickets is let through, and the parts of the
@@ -214,8 +216,8 @@
         (kept, (kept * balancers) as f64 / ready.max(1) as f64)
     }
 
-    /// How many upstreams a ticket looks among. Beyond the circle only the list tells their load: where
-    /// it does not, homes of keys shared with all others would be overrun unseen.
+    /// How many upstreams a ticket looks among: beyond the circle for homes of its key, which all balancers
+    /// share and would overrun unseen where the list does not tell their load.
     fn reach(&self) -> usize {
         let far = self.terms.keys_kept && self.terms.loads_listed;
         if far { self.order.len() } else { self.circle().0 }
@@ -576,8 +578,7 @@
         let enough = if upstream.suspected { FAILURES / 3.0 } else { FAILURES };
         let suspected = silent || (failed > enough && share > FAILING + (1.0 - FAILING) * usual);
         if suspected && !upstream.suspected {
-            upstream.trial_at = now + (TRIAL_WAIT * expected) as Micros;
-            upstream.failed_trials = 0;
+            (upstream.trial_at, upstream.failed_trials) = (now + (TRIAL_WAIT * expected) as Micros, 0);
         }
         upstream.suspected = suspected;
         suspected
@@ -622,8 +623,7 @@
         (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING)
     }
 
-    /// The span that sums over `RECENT` stand for. Just after a start they have not filled: read as if they
-    /// had, they would make the fleet look idle and the queue endless.
+    /// The span that sums over `RECENT` stand for: read as filled just after a start, queues look endless.
     fn watched(&self, now: Micros) -> f64 {
         RECENT.min(now.saturating_sub(self.started) as f64).max(RECENT / 4.0)
     }
@@ -648,7 +648,7 @@
         let known = || self.order.iter().filter(|&&u| !self.upstreams[u].suspected);
         let held: f64 = known().map(|&u| self.upstreams[u].in_flight as f64).sum();
         let limit: f64 = known().take(self.circle().0).map(|&u| self.limit(now, u)).sum();
-        held < f64::max(limit + (limit / self.terms.balancers as f64).sqrt(), 2.0)
+        held < f64::max(limit + (limit / self.terms.balancers as f64).sqrt(), LEAST_IN_ALL)
     }
 
     /// The moment after which an answer would likely come too late to be of use.
