Homes ranked only for tickets let through; cold budget and horizon worked out where needed

On rereading: homes of a key were ranked before the share decided whether the ticket goes at all, the cold budget was worked out for every warm candidate, the horizon for each upstream anew, and one check of the effect stood in three places.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -248,9 +248,8 @@
             (hint as f64 / usual.read().unwrap_or(1.0).max(1.0)).clamp(0.1, 10.0)
         });
         let within_share = self.within_share(now, account);
-        let homes = self.homes(now, key);
-        let (id, streaming, dispatches) = (Rc::from(id), false, Vec::new());
-        let ticket =
+        let (id, homes, streaming, dispatches) = (Rc::from(id), Vec::new(), false, Vec::new());
+        let mut ticket =
             Ticket { id, use_case, homes, promised, hard_stop, work, within_share, streaming, dispatches };
         let [late, heard] =
             [&self.seen.pressure.total, &self.seen.pressure.weight].map(|s| s.read(now, SECOND));
@@ -264,6 +263,7 @@
         if self.chance.generate::<f64>() > part {
             return self.give_up(now, ticket);
         }
+        ticket.homes = self.homes(now, key);
         self.admit(now, ticket);
     }
 
@@ -301,14 +301,12 @@
         };
         let (heard, (_, sharers)) = (self.heard_within(now), self.circle());
         // Few answers tell little: they pull what is usual for the machine type their way by their number.
-        let all = self.seen.answers.read();
         let shrunk = |up: &Upstream, own: Option<f64>, count: f64| {
-            let usual = self.kinds.get(&up.kind).and_then(Mean::read).or(all).or(own)?;
+            let usual = self.kinds.get(&up.kind).and_then(Mean::read).or(self.seen.answers.read()).or(own)?;
             Some((count * own.unwrap_or(usual) + KIND_ANSWERS * usual) / (count + KIND_ANSWERS))
         };
         let latency = gather(&|up| shrunk(up, up.latency(now), up.answers.weight.read(now, heard)));
-        let listed = self.terms.weights_listed;
-        let capacity = gather(&|up| match listed {
+        let capacity = gather(&|up| match self.terms.weights_listed {
             true => up.weight.read(),
             // Served rate per own request in flight is the inverse of the answer time.
             false => shrunk(up, up.lasting_answers.read(), up.lasting_answers.weight.read(now, LASTING))
@@ -377,8 +375,7 @@
             }),
         };
         let (_, spent, budget) = self.cold_budget(now, u);
-        let warm = !self.is_cold(now, u) || spent + ticket.work <= budget + COLD_ROUNDING;
-        open && again && upstream.ready && warm
+        open && again && upstream.ready && spent + ticket.work <= budget + COLD_ROUNDING
     }
 
     pub fn dispatch_ended(&mut self, now: Micros, id: &str, n: usize, last: bool, how: Ending, took: Micros) {
@@ -390,8 +387,7 @@
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
         } else {
             let unseen = ticket.dispatches.iter().all(|d| !d.may_have_run);
-            let redone = self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible;
-            let again = (unseen || redone) && self.may_spend_more(now);
+            let again = (unseen || self.redone(&ticket)) && self.may_spend_more(now);
             match again && ticket.dispatches.len() < self.terms.most_dispatches {
                 true => self.admit(now, ticket),
                 false => self.give_up(now, ticket),
@@ -463,6 +459,10 @@
         }
     }
 
+    fn redone(&self, ticket: &Ticket) -> bool {
+        self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible
+    }
+
     fn is_cold(&self, now: Micros, u: usize) -> bool {
         let launched = self.upstreams[u].launched;
         launched > 0 && now < launched + self.terms.warming.warm_after
@@ -473,6 +473,9 @@
     /// part of what arrives where none is warm. Where that is less than a ticket, own chance, drawn for each
     /// span, lets some balancers send one: what is not used is gone, so lone tickets never come together.
     fn cold_budget(&self, now: Micros, u: usize) -> (u64, f64, f64) {
+        if !self.is_cold(now, u) {
+            return (u64::MAX, 0.0, f64::INFINITY);
+        }
         let (warming, upstream) = (&self.terms.warming, &self.upstreams[u]);
         let age = now.saturating_sub(upstream.launched);
         let grown =
@@ -497,6 +500,7 @@
         let expected = (0..self.paces.len()).map(|c| self.expected(c)).fold(0.0, f64::max);
         let failed = self.seen.failed.read(now, RECENT);
         let usual = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
+        let heard = self.heard_within(now);
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
         let mut open: Vec<usize> = ticket.homes.iter().map(|home| home.0).collect();
         let most = self.circle().0 + open.len();
@@ -509,7 +513,7 @@
                 continue;
             } else if ticket.dispatches.iter().any(|d| d.upstream == u) {
                 met.push(u);
-            } else if self.suspect(now, u, expected, usual) {
+            } else if self.suspect(now, u, heard, expected, usual) {
                 out.push(u);
             } else {
                 ready.push(u);
@@ -525,8 +529,7 @@
         // Ties would fall to whoever comes first, again and again.
         let turn = self.chance.generate_range(0..ready.len());
         ready.rotate_left(turn);
-        let again = self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible;
-        let risked = again && ticket.dispatches.is_empty();
+        let risked = self.redone(ticket) && ticket.dispatches.is_empty();
         let trial = out.into_iter().find(|&u| risked && self.upstreams[u].trial_at <= now);
         if let Some(u) = trial {
             let scatter = 1.0 + self.chance.generate::<f64>();
@@ -569,8 +572,7 @@
     }
 
     /// Whether an upstream is silent or fails more than the fleet does.
-    fn suspect(&mut self, now: Micros, u: usize, expected: f64, usual: f64) -> bool {
-        let heard = self.heard_within(now);
+    fn suspect(&mut self, now: Micros, u: usize, heard: f64, expected: f64, usual: f64) -> bool {
         let upstream = &mut self.upstreams[u];
         let silent = upstream.silent_for(now) > SILENT * expected;
         let failed = upstream.failed.read(now, heard);
@@ -596,8 +598,7 @@
         let expected = self.expected(ticket.use_case);
         let last = ticket.promised.saturating_sub(now) as f64 - expected;
         let patience = (PATIENCE * expected * ticket.work.max(1.0)).min(last);
-        let redone = self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible;
-        (redone && patience > expected).then_some(patience as Micros)
+        (self.redone(ticket) && patience > expected).then_some(patience as Micros)
     }
 
     /// Nothing came from a dispatch for long: a second copy goes elsewhere if that is open to the ticket.
