--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -8,11 +8,11 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use pinefront::{Balancer, Effect, Ending, Group, Host, Micros, Terms, UseCase, Warming};
+use pinefront::{Balancer, Ending, Host, Micros};
+use pinefront_terms::fields::{Decoded, count, flag, list, number, optional, part, text, whole};
+use pinefront_terms::terms;
 use serde_json::Value;
 
-type Decoded<T> = Result<T, String>;
-
 /// Writes an instance's actions into the reply under way.
 struct Wire {
     instance: u64,
@@ -61,109 +61,6 @@
     }
 }
 
-fn field<'a, T>(object: &'a Value, name: &str, read: impl Fn(&'a Value) -> Option<T>) -> Decoded<T> {
-    match object.get(name) {
-        None => Err(format!("field '{name}' is missing")),
-        Some(value) => read(value).ok_or_else(|| format!("field '{name}' has the wrong type")),
-    }
-}
-
-fn optional<'a, T>(
-    object: &'a Value,
-    name: &str,
-    read: impl Fn(&'a Value) -> Option<T>,
-) -> Decoded<Option<T>> {
-    match object.get(name) {
-        None | Some(Value::Null) => Ok(None),
-        Some(_) => field(object, name, read).map(Some),
-    }
-}
-
-fn whole(object: &Value, name: &str) -> Decoded<u64> {
-    field(object, name, Value::as_u64)
-}
-fn number(object: &Value, name: &str) -> Decoded<f64> {
-    field(object, name, Value::as_f64)
-}
-fn text<'a>(object: &'a Value, name: &str) -> Decoded<&'a str> {
-    field(object, name, Value::as_str)
-}
-fn list<'a>(object: &'a Value, name: &str) -> Decoded<&'a Vec<Value>> {
-    field(object, name, Value::as_array)
-}
-fn flag(object: &Value, name: &str) -> Decoded<bool> {
-    Ok(optional(object, name, Value::as_bool)?.unwrap_or(false))
-}
-fn part<'a>(object: &'a Value, name: &str) -> Decoded<&'a Value> {
-    field(object, name, |value| value.is_object().then_some(value))
-}
-fn count(object: &Value, name: &str) -> Decoded<usize> {
-    usize::try_from(whole(object, name)?).map_err(|_| format!("field '{name}' is too large"))
-}
-
-fn use_case(class: &Value) -> Decoded<UseCase> {
-    let effect = match text(class, "effect")? {
-        "safe" => Effect::Redoable,
-        "unsafe" => Effect::Irreversible,
-        "keyed" => Effect::Labelled {
-            group: match text(class, "dedupScope")? {
-                "all" => Group::All,
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
-                other => return Err(format!("field 'dedupScope' holds unknown '{other}'")),
-            },
-            window: whole(class, "dedupWindowUs")?,
-        },
-        other => return Err(format!("field 'effect' holds unknown '{other}'")),
-    };
-    Ok(UseCase { promised_time: whole(class, "promisedTimeUs")?, effect })
-}
-
-fn terms(conf: &Value) -> Decoded<Terms> {
-    let (caps, rules) = (part(conf, "caps")?, part(conf, "rules")?);
-    let family = optional(conf, "familyInfo", Some)?.unwrap_or(&Value::Null);
-    let accounts = optional(conf, "accounts", Value::as_array)?;
-    let (balancers, own_number) = (count(conf, "fleetSize")?, count(conf, "me")?);
-    if balancers == 0 {
-        return Err("field 'fleetSize' is 0".into());
-    }
-    if own_number >= balancers {
-        return Err(format!("field 'me' is {own_number} in a fleet of {balancers}"));
-    }
-    Ok(Terms {
-        balancers,
-        own_number,
-        zone: whole(conf, "zone")?,
-        ask_within: match text(conf, "registryMode")? {
-            "ask" => Some(whole(rules, "askWithinUs")?),
-            _ => None,
-        },
-        weights_listed: text(conf, "weightKind")? != "off",
-        loads_listed: text(conf, "weightKind")? == "live",
-        keys_kept: flag(family, "warmKeys")?,
-        may_call_off: flag(caps, "cancel")?,
-        second_copies: flag(caps, "secondCopies")?,
-        most_dispatches: count(caps, "maxDispatches")?,
-        longest_come_back: match flag(caps, "retryAfter")? {
-            true => whole(caps, "maxRetryAfterUs")?,
-            false => 0,
-        },
-        warming: Warming {
-            starts_at: number(rules, "coldFrom")?,
-            warm_after: whole(rules, "warmUpUs")?,
-            multiple: number(rules, "tipMultiple")?,
-            span: whole(rules, "fallUs")?,
-        },
-        use_cases: list(conf, "useCases")?.iter().map(use_case).collect::<Decoded<_>>()?,
-        allowances: match accounts {
-            None => Vec::new(),
-            Some(accounts) => {
-                accounts.iter().map(|account| number(account, "allowancePerS")).collect::<Decoded<_>>()?
-            }
-        },
-    })
-}
-
 fn ending(how: &str) -> Decoded<Ending> {
     Ok(match how {
         "pass" => Ending::Succeeded,
--- /dev/null
+++ b/node/src/life/log.rs
@@ -0,0 +1,93 @@
+//! The log: slog's lines on standard error, never waited for. A full pipe drops lines and counts them.
+
+use std::fmt::{self, Write as _};
+use std::io::Write as _;
+use std::sync::{Arc, Mutex};
+
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use slog::{Drain, KV, Logger, Never, OwnedKVList, Record, Serializer, o};
+
+/// Kept while the pipe is full: some hundred lines.
+const KEPT_MOST: usize = 64 * 1024;
+/// A pipe that is ready takes so much without waiting.
+const WRITE_AT_ONCE: usize = 4096;
+
+#[derive(Default)]
+struct Kept {
+    lines: Vec<u8>,
+    dropped: u64,
+}
+
+/// Lines not yet written.
+#[derive(Clone, Default)]
+pub struct Pipe(Arc<Mutex<Kept>>);
+
+impl Pipe {
+    pub fn logger(&self, level: slog::Level) -> Logger {
+        Logger::root(self.clone().filter_level(level).fuse(), o!())
+    }
+
+    fn keep(&self, line: &str) {
+        let Ok(mut kept) = self.0.lock() else { return };
+        if kept.lines.len() + line.len() > KEPT_MOST {
+            kept.dropped += 1;
+            return;
+        }
+        kept.lines.extend_from_slice(line.as_bytes());
+    }
+
+    /// Writes what the pipe takes and tells how many lines were dropped since it was last asked.
+    pub fn flush(&self) -> u64 {
+        let Ok(mut kept) = self.0.lock() else { return 0 };
+        let mut out = std::io::stderr();
+        while !kept.lines.is_empty() && takes_more() {
+            let part = kept.lines.len().min(WRITE_AT_ONCE);
+            match out.write(&kept.lines[..part]) {
+                Ok(written) => drop(kept.lines.drain(..written)),
+                Err(problem) if problem.kind() == std::io::ErrorKind::Interrupted => {}
+                Err(_) => break,
+            }
+        }
+        match kept.lines.is_empty() {
+            true => std::mem::take(&mut kept.dropped),
+            false => 0,
+        }
+    }
+}
+
+/// Whether standard error takes some bytes without waiting; others may share it, so its flags stay as they are.
+fn takes_more() -> bool {
+    let stderr = std::io::stderr();
+    let mut fds = [PollFd::new(&stderr, PollFlags::OUT)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut fds, Some(&at_once)).is_ok() && fds[0].revents() == PollFlags::OUT
+}
+
+struct Line(String);
+
+impl Serializer for Line {
+    fn emit_arguments(&mut self, key: slog::Key, value: &fmt::Arguments) -> slog::Result {
+        let text = value.to_string();
+        // Line ends and blanks from outside must not pass for lines or fields of ours.
+        let plain = |byte: u8| byte.is_ascii_graphic() && byte != b'"' && byte != b'=';
+        match !text.is_empty() && text.bytes().all(plain) {
+            true => write!(self.0, " {key}={text}")?,
+            false => write!(self.0, " {key}={text:?}")?,
+        }
+        Ok(())
+    }
+}
+
+impl Drain for Pipe {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record, fields: &OwnedKVList) -> Result<(), Never> {
+        let mut line = Line(format!("{} {}", record.level().as_short_str(), record.msg()));
+        // A line that cannot be worded whole is kept as far as it goes.
+        let _ = record.kv().serialize(record, &mut line).and_then(|()| fields.serialize(record, &mut line));
+        line.0.push('\n');
+        self.keep(&line.0);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/node/src/life/mod.rs
@@ -0,0 +1,7 @@
+//! How the program starts, serves, logs and stops.
+
+pub mod log;
+pub mod reasons;
+pub mod serve;
+pub mod start;
+pub mod stop;
--- /dev/null
+++ b/node/src/life/reasons.rs
@@ -0,0 +1,39 @@
+//! Why a connection ended: the codes of the log lines, explained in `docs/on-call.md`.
+
+// Clients' connections.
+pub const CLIENT_CLOSED: &str = "client_closed";
+pub const CLIENT_LEFT: &str = "client_left";
+pub const CLIENT_CUT_SHORT: &str = "client_cut_short";
+pub const CLIENT_RESET: &str = "client_reset";
+pub const CLIENT_LAST: &str = "client_last";
+pub const CLIENT_IDLE: &str = "client_idle";
+pub const SLOW_SENDER: &str = "slow_sender";
+pub const SLOW_READER: &str = "slow_reader";
+pub const MALFORMED: &str = "malformed";
+pub const HEAD_TOO_LARGE: &str = "head_too_large";
+pub const BODY_TOO_LARGE: &str = "body_too_large";
+
+// Connections to upstreams.
+pub const CONNECT_FAILED: &str = "connect_failed";
+pub const CONNECT_TIMEOUT: &str = "connect_timeout";
+pub const NOT_WRITTEN: &str = "not_written";
+pub const LINK_BROKEN: &str = "link_broken";
+pub const LINK_CLOSED: &str = "link_closed";
+pub const LINK_IDLE: &str = "link_idle";
+pub const LINK_LAST: &str = "link_last";
+pub const CALLED_OFF: &str = "called_off";
+pub const SILENT: &str = "silent";
+pub const DRAINED: &str = "drained";
+pub const MOVED: &str = "moved";
+
+// The connection to discovery.
+pub const DISCOVERY_CLOSED: &str = "discovery_closed";
+pub const DISCOVERY_BROKEN: &str = "discovery_broken";
+pub const DISCOVERY_OVERDUE: &str = "discovery_overdue";
+pub const DISCOVERY_REFUSED: &str = "discovery_refused";
+
+// Any of them.
+pub const NONSENSE: &str = "nonsense";
+pub const NOT_WIRED: &str = "not_wired";
+pub const MADE_ROOM: &str = "made_room";
+pub const STOPPED: &str = "stopped";
--- /dev/null
+++ b/node/src/life/serve.rs
@@ -0,0 +1,82 @@
+//! The turns of the loop: what sockets and deadlines bring goes to the module, and its calls come back
+//! through [`Hands`].
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use calloop::EventLoop;
+use pinefront::{Balancer, Micros};
+use slog::warn;
+
+use crate::life::log::Pipe;
+use crate::memory::deadlines::Due;
+use crate::memory::desk::Desk;
+
+/// The longest turn without anything due: the log is written on from time to time.
+const TURN_MOST: Micros = 1_000_000;
+
+/// The module's host: carries out its calls at the desk.
+pub struct Hands(pub Rc<RefCell<Desk>>);
+
+/// The module and all that is kept for it. The desk is let go before the module is called, as the module
+/// calls back.
+pub struct Node {
+    pub balancer: Balancer<Hands>,
+    pub desk: Rc<RefCell<Desk>>,
+    pub stopping: Option<crate::life::stop::Stop>,
+    pub over: bool,
+}
+
+impl Node {
+    /// What fell due. What these bring about at once waits for the next turn.
+    pub fn deadlines(&mut self) {
+        let (now, mark) = {
+            let desk = self.desk.borrow();
+            (desk.now(), desk.deadlines.mark())
+        };
+        loop {
+            let due = self.desk.borrow_mut().deadlines.due(now, mark);
+            let Some(due) = due else { return };
+            match due {
+                Due::Alarm(alarm) => {
+                    let now = self.desk.borrow().now();
+                    self.balancer.alarm_rang(now, alarm);
+                }
+                Due::Client(slot) => self.client_due(slot),
+                Due::NextRequest(slot) => self.client_ready(slot),
+                Due::Link(slot) => self.link_due(slot),
+                Due::LinkTurn(slot) => self.link_ready(slot),
+                Due::Unsent(ticket, number, ending) => self.dispatch_over(ticket, number, ending, now),
+                Due::Discovery => self.discovery_due(),
+                Due::Accept => self.desk.borrow_mut().accept_again(),
+                Due::Stop => self.stop_on(),
+            }
+        }
+    }
+}
+
+/// Serves until told to stop and done.
+pub fn serve(event_loop: &mut EventLoop<'static, Node>, node: &mut Node, pipe: &Pipe) -> Result<(), String> {
+    while !node.over {
+        let wait = {
+            let desk = node.desk.borrow();
+            let now = desk.now();
+            desk.deadlines.next().map_or(TURN_MOST, |at| at.saturating_sub(now)).min(TURN_MOST)
+        };
+        event_loop
+            .dispatch(Some(Duration::from_micros(wait)), node)
+            .map_err(|problem| format!("the event loop failed: {problem}"))?;
+        let began = node.desk.borrow().now();
+        node.deadlines();
+        let mut desk = node.desk.borrow_mut();
+        let took = desk.now().saturating_sub(began);
+        desk.counters.latest_turn_us = desk.counters.latest_turn_us.max(took);
+        let dropped = pipe.flush();
+        if dropped > 0 {
+            desk.counters.log_lines_dropped += dropped;
+            warn!(desk.log, "log lines dropped"; "count" => dropped);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/node/src/life/stop.rs
@@ -0,0 +1,69 @@
+//! An orderly stop: not ready at once, accepting a little longer, every ticket answered.
+
+use calloop::signals::Signal;
+use pinefront::Micros;
+use slog::info;
+
+use crate::life::serve::Node;
+use crate::memory::deadlines::Due;
+
+/// How long new connections are taken after the signal: they go on coming until the front has noticed.
+const ACCEPT_ON: Micros = 500_000;
+/// How long a connection taken last may keep its request back.
+const FIRST_REQUEST: Micros = 300_000;
+/// How often we look whether all is answered.
+const LOOK_EVERY: Micros = 20_000;
+/// When we end whatever is left: no ticket may wait that long.
+const GIVE_UP: Micros = 10_000_000;
+
+/// How far the stop has come.
+pub struct Stop {
+    began: Micros,
+    accepting: bool,
+}
+
+impl Node {
+    pub fn signalled(&mut self, signal: Signal) {
+        let mut desk = self.desk.borrow_mut();
+        if signal == Signal::SIGUSR1 {
+            return desk.tell_counters();
+        }
+        if desk.stopping {
+            return;
+        }
+        info!(desk.log, "told to stop"; "tickets" => desk.tickets.len(), "clients" => desk.clients.len());
+        desk.stopping = true;
+        let began = desk.now();
+        self.stopping = Some(Stop { began, accepting: true });
+        drop(desk);
+        self.stop_on();
+    }
+
+    /// Looks how far the stop has come.
+    pub fn stop_on(&mut self) {
+        let Some(stop) = &mut self.stopping else { return };
+        let now = self.desk.borrow().now();
+        let since = now.saturating_sub(stop.began);
+        if since >= ACCEPT_ON && stop.accepting {
+            stop.accepting = false;
+            // What lies in the backlog counts as taken.
+            self.accept();
+            self.desk.borrow_mut().close_listener();
+        }
+        // What came in meanwhile is served, not closed.
+        let slots: Vec<_> = self.desk.borrow().clients.keys().collect();
+        slots.into_iter().for_each(|slot| self.client_ready(slot));
+        let mut desk = self.desk.borrow_mut();
+        desk.close_idle_clients(since >= ACCEPT_ON + FIRST_REQUEST);
+        let waiting =
+            desk.clients.values().any(|client| client.ticket.is_some() || !client.outbox.is_empty());
+        let lingering = desk.clients.values().any(|client| client.lingers);
+        let done = since >= ACCEPT_ON + FIRST_REQUEST && !waiting && !lingering;
+        if done || since >= GIVE_UP {
+            info!(desk.log, "stopped"; "unanswered" => desk.tickets.len());
+            self.over = true;
+            return;
+        }
+        desk.deadlines.hang(now + LOOK_EVERY, Due::Stop);
+    }
+}
--- /dev/null
+++ b/node/src/memory/desk.rs
@@ -0,0 +1,159 @@
+//! All that the program keeps while it serves: the tables, and what every part of it reaches for.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use calloop::{LoopHandle, RegistrationToken};
+use pinefront::Micros;
+use slog::Logger;
+use slotmap::SlotMap;
+
+use crate::life::serve::Node;
+use crate::life::start::Place;
+use crate::memory::buffers::{Inbox, Outbox};
+use crate::memory::counters::Counters;
+use crate::memory::deadlines::{self, Deadlines};
+use crate::memory::slots::{ClientSlot, LinkSlot, TicketSlot, UpstreamSlot};
+use crate::wire::discovery::Roster;
+
+/// The module's time: Unix time as it stood at the start, carried on by a clock that never steps.
+pub struct Clock {
+    started: Instant,
+    paired: Micros,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started: Instant::now(), paired: unix.as_micros() as Micros }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.paired + self.started.elapsed().as_micros() as Micros
+    }
+}
+
+/// A socket with its place in the event loop.
+pub struct Wired {
+    pub stream: Rc<TcpStream>,
+    pub token: RegistrationToken,
+}
+
+pub struct Client {
+    pub wired: Wired,
+    pub peer: SocketAddr,
+    pub inbox: Inbox,
+    pub outbox: Outbox,
+    pub ticket: Option<TicketSlot>,
+    /// The ticket's sender wants no further one on this connection.
+    pub last: bool,
+    pub answered: u64,
+    /// Why it ends once all is written.
+    pub ending: Option<&'static str>,
+    /// Our sending is over; what still comes is read away, or it would break the answer's last bytes.
+    pub lingers: bool,
+    pub due: Option<deadlines::Place>,
+}
+
+/// What a connection to an upstream carries.
+pub struct Errand {
+    pub ticket: TicketSlot,
+    pub number: usize,
+    pub sent: Micros,
+    pub expire_at: Micros,
+}
+
+pub struct Link {
+    pub wired: Wired,
+    pub upstream: UpstreamSlot,
+    pub connected: bool,
+    pub inbox: Inbox,
+    pub outbox: Outbox,
+    pub errand: Option<Errand>,
+    pub carried: u64,
+    pub due: Option<deadlines::Place>,
+}
+
+pub struct Upstream {
+    pub id: Rc<str>,
+    pub address: Option<SocketAddr>,
+    /// Idle connections, the one used last at the end.
+    pub idle: Vec<LinkSlot>,
+    /// When we were told that it drains or is gone.
+    pub drains: Option<Micros>,
+}
+
+/// A ticket that has no final answer yet, or still has a dispatch out. Its message is slices of the buffer that the client's connection
+/// read it into.
+pub struct Ticket {
+    pub id: Rc<str>,
+    /// Who waits for the final answer; nobody once that is given or the client has left.
+    pub client: Option<ClientSlot>,
+    pub head: Vec<Bytes>,
+    pub body: Vec<Bytes>,
+    /// The head names a host; the method is one that has a body, even an empty one.
+    pub has_host: bool,
+    pub has_body: bool,
+    pub dispatches: Vec<Option<LinkSlot>>,
+}
+
+pub struct Desk {
+    pub clock: Clock,
+    pub place: Place,
+    pub log: Logger,
+    pub handle: LoopHandle<'static, Node>,
+    pub listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    pub clients: SlotMap<ClientSlot, Client>,
+    pub links: SlotMap<LinkSlot, Link>,
+    pub tickets: SlotMap<TicketSlot, Ticket>,
+    pub by_id: HashMap<Rc<str>, TicketSlot>,
+    pub upstreams: SlotMap<UpstreamSlot, Upstream>,
+    pub by_name: HashMap<Rc<str>, UpstreamSlot>,
+    pub roster: Roster,
+    pub deadlines: Deadlines,
+    pub counters: Counters,
+    /// Told to stop: not ready, and connections close between tickets.
+    pub stopping: bool,
+}
+
+impl Desk {
+    pub fn now(&self) -> Micros {
+        self.clock.now()
+    }
+
+    /// Takes the client from a ticket: from here on nobody waits for its answer.
+    pub fn release(&mut self, slot: TicketSlot) -> Option<(Rc<str>, ClientSlot)> {
+        let ticket = self.tickets.get_mut(slot)?;
+        let released = (Rc::clone(&ticket.id), ticket.client.take()?);
+        if let Some(client) = self.clients.get_mut(released.1) {
+            client.ticket = None;
+        }
+        self.tidy(slot);
+        Some(released)
+    }
+
+    /// Forgets a ticket that nobody waits for and that has nothing out.
+    pub fn tidy(&mut self, slot: TicketSlot) {
+        let over = |ticket: &Ticket| ticket.client.is_none() && ticket.dispatches.iter().all(Option::is_none);
+        if self.tickets.get(slot).is_some_and(over)
+            && let Some(ticket) = self.tickets.remove(slot)
+        {
+            self.by_id.remove(&ticket.id);
+        }
+    }
+
+    /// The upstream's entry, made when first named.
+    pub fn upstream(&mut self, id: &str) -> UpstreamSlot {
+        if let Some(&slot) = self.by_name.get(id) {
+            return slot;
+        }
+        let id: Rc<str> = Rc::from(id);
+        let blank = Upstream { id: Rc::clone(&id), address: None, idle: Vec::new(), drains: None };
+        let slot = self.upstreams.insert(blank);
+        self.by_name.insert(id, slot);
+        slot
+    }
+}
--- /dev/null
+++ b/node/src/wire/discovery.rs
@@ -0,0 +1,341 @@
+//! Discovery: the list of upstreams and the watch on its changes, one call at a time.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction};
+use httparse::{Response, Status};
+use nanorand::{Rng, WyRand};
+use pinefront::Micros;
+use pinefront_terms::fields::{Decoded, flag, list, number, optional, text, whole};
+use serde_json::Value;
+use slog::{info, warn};
+
+use crate::life::reasons;
+use crate::life::serve::Node;
+use crate::memory::buffers::{Inbox, Inflow, Outbox};
+use crate::memory::deadlines::{Due, Place};
+use crate::memory::desk::{Desk, Wired};
+use crate::wire::heads::{self, FIELDS_MOST, Framing, HEAD_MOST};
+use crate::wire::upstreams::connect;
+
+/// How long a watch may wait at discovery. A connection that went silent is noticed no sooner, and what it
+/// had to tell counts as told two seconds after.
+const WATCH_MS: u64 = 5_000;
+/// How long an answer may take beyond that wait; a whole list may queue at discovery for two seconds first.
+const OVERDUE: Micros = 1_500_000;
+const QUEUED: Micros = 1_000_000;
+/// Longest list taken: some thousand upstreams.
+const LIST_MOST: usize = 4 * 1024 * 1024;
+/// Where the module does not ask for the list itself: the first wait after a failed call, and its doublings.
+const RETRY_FIRST: Micros = 250_000;
+const RETRY_DOUBLINGS: u32 = 4;
+
+/// The connection to discovery and how far the list has come.
+pub struct Roster {
+    wired: Option<Wired>,
+    inbox: Inbox,
+    outbox: Outbox,
+    version: Option<u64>,
+    /// A call is out.
+    asking: bool,
+    due: Option<Place>,
+    failures: u32,
+    /// Whether the first call has ended, well or not.
+    tried: bool,
+    chance: WyRand,
+}
+
+impl Roster {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            wired: None,
+            inbox: Inbox::default(),
+            outbox: Outbox::default(),
+            version: None,
+            asking: false,
+            due: None,
+            failures: 0,
+            tried: false,
+            chance: WyRand::new_seed(!seed),
+        }
+    }
+
+    /// The next call asks for the whole list.
+    pub fn forget_version(&mut self) {
+        self.version = None;
+    }
+
+    /// Whether there is a list to serve by: discovery's own, or the one we were started with where
+    /// discovery did not answer.
+    pub fn stands(&self) -> bool {
+        self.tried
+    }
+}
+
+impl Node {
+    pub fn discovery_due(&mut self) {
+        let mut desk = self.desk.borrow_mut();
+        desk.roster.due = None;
+        if desk.roster.asking {
+            drop(desk);
+            return self.call_failed(reasons::DISCOVERY_OVERDUE);
+        }
+        let asked = desk.ask();
+        drop(desk);
+        if asked.is_err() {
+            self.call_failed(reasons::CONNECT_FAILED);
+        }
+    }
+
+    pub fn discovery_ready(&mut self) {
+        let mut desk = self.desk.borrow_mut();
+        let roster = &mut desk.roster;
+        let Some(wired) = &roster.wired else { return };
+        let failed = wired.stream.take_error().is_ok_and(|problem| problem.is_some());
+        let written = roster.outbox.drain(&wired.stream);
+        let inflow = roster.inbox.fill(&wired.stream, LIST_MOST);
+        let ended = inflow != Inflow::Dry;
+        // A connection under way is not writable yet, which is no failure.
+        let unwritten = written.is_err_and(|problem| problem.kind() != std::io::ErrorKind::NotConnected);
+        let found = whole_list(roster.inbox.kept(), inflow == Inflow::Ended);
+        match found {
+            _ if !roster.asking => {
+                if ended || failed || !roster.inbox.kept().is_empty() {
+                    desk.end_discovery(reasons::DISCOVERY_CLOSED);
+                }
+            }
+            Ok(Some((bodies, end, lasts))) => {
+                let message = roster.inbox.take(end);
+                let text: Vec<u8> =
+                    bodies.iter().flat_map(|range| &message[range.clone()]).copied().collect();
+                roster.asking = false;
+                if !lasts || ended {
+                    desk.end_discovery(reasons::DISCOVERY_CLOSED);
+                }
+                drop(desk);
+                let taken = serde_json::from_slice(&text)
+                    .map_err(|problem| problem.to_string())
+                    .and_then(|list: Value| self.take_list(&list));
+                match taken {
+                    Ok(()) => self.watch_on(),
+                    Err(problem) => {
+                        warn!(self.desk.borrow().log, "list not understood"; "problem" => problem);
+                        self.call_failed(reasons::NONSENSE);
+                    }
+                }
+            }
+            Ok(None) if ended || failed || unwritten => {
+                drop(desk);
+                self.call_failed(reasons::DISCOVERY_BROKEN);
+            }
+            Ok(None) => {}
+            Err(reason) => {
+                drop(desk);
+                self.call_failed(reason);
+            }
+        }
+    }
+
+    /// Takes a whole list or what changed, as discovery words it.
+    pub fn take_list(&mut self, told: &Value) -> Decoded<()> {
+        let version = whole(told, "rev")?;
+        let (now, log) = {
+            let desk = self.desk.borrow();
+            (desk.now(), desk.log.clone())
+        };
+        let entries = list(told, "targets")?;
+        let complete = flag(told, "all")?;
+        if complete {
+            self.desk.borrow_mut().all_gone(now);
+        }
+        self.balancer.list_begins(complete);
+        for entry in entries {
+            if let Err(problem) = self.take_entry(now, entry) {
+                // One bad entry must not hide the others; what it names gets nothing new.
+                warn!(log, "entry not understood"; "problem" => problem);
+                if let Ok(id) = text(entry, "uid") {
+                    self.desk.borrow_mut().drains(id, now);
+                    self.balancer.list_drains(id);
+                }
+            }
+        }
+        self.balancer.list_ends(now);
+        let mut desk = self.desk.borrow_mut();
+        desk.drop_left();
+        desk.roster.version = Some(version);
+        desk.counters.lists_taken += 1;
+        Ok(())
+    }
+
+    fn take_entry(&mut self, now: Micros, entry: &Value) -> Decoded<()> {
+        let id = text(entry, "uid")?;
+        match text(entry, "state")? {
+            "active" => {
+                let address: SocketAddr = text(entry, "endpoint")?
+                    .parse()
+                    .map_err(|_| "field 'endpoint' is no address and port".to_owned())?;
+                let launched = optional(entry, "boot_ms", Value::as_u64)?.unwrap_or(0).saturating_mul(1000);
+                let (group, weight) = (whole(entry, "pod_group")?, number(entry, "capacity_hint")?);
+                let (zone, kind) = (text(entry, "az")?, text(entry, "model")?);
+                let mut desk = self.desk.borrow_mut();
+                let (zone, kind) = (desk.place.zone(zone), desk.place.kind(kind));
+                desk.serves(id, address);
+                drop(desk);
+                self.balancer.list_entry(id, zone, kind, group, weight, launched);
+            }
+            "leaving" | "left" => {
+                self.desk.borrow_mut().drains(id, now);
+                self.balancer.list_drains(id);
+            }
+            other => return Err(format!("field 'state' holds unknown '{other}'")),
+        }
+        Ok(())
+    }
+
+    /// The watch goes on as long as the next call follows at once.
+    fn watch_on(&mut self) {
+        let mut desk = self.desk.borrow_mut();
+        desk.roster.tried = true;
+        desk.roster.failures = 0;
+        if desk.stopping {
+            return desk.end_discovery(reasons::STOPPED);
+        }
+        let asked = desk.ask();
+        drop(desk);
+        if asked.is_err() {
+            self.call_failed(reasons::CONNECT_FAILED);
+        }
+    }
+
+    /// A call for the list failed: the list that we have stands, and the module says when to ask anew.
+    fn call_failed(&mut self, reason: &'static str) {
+        let mut desk = self.desk.borrow_mut();
+        desk.counters.lists_failed += 1;
+        desk.end_discovery(reason);
+        let roster = &mut desk.roster;
+        roster.asking = false;
+        roster.tried = true;
+        if !desk.place.asks_itself {
+            let roster = &mut desk.roster;
+            let wait = RETRY_FIRST << roster.failures.min(RETRY_DOUBLINGS);
+            roster.failures += 1;
+            let wait = wait / 2 + roster.chance.generate_range(0..=wait / 2);
+            let at = desk.now() + wait;
+            desk.ask_at(at);
+        }
+        drop(desk);
+        self.balancer.list_failed();
+    }
+}
+
+impl Desk {
+    /// The module wants the list followed; on a later turn, as we are inside its call.
+    pub fn follow_list(&mut self) {
+        if !self.roster.asking {
+            self.ask_at(self.clock.now());
+        }
+    }
+
+    fn ask_at(&mut self, at: Micros) {
+        self.deadlines.move_to(&mut self.roster.due, at, Due::Discovery);
+    }
+
+    fn ask(&mut self) -> std::io::Result<()> {
+        let (path, wait) = match self.roster.version {
+            None => ("/registry/instances".to_owned(), QUEUED),
+            Some(version) => {
+                (format!("/registry/instances?since={version}&timeout_ms={WATCH_MS}"), WATCH_MS * 1000)
+            }
+        };
+        let address = self.place.discovery;
+        self.counters.lists_asked += 1;
+        self.roster.asking = true;
+        self.ask_at(self.clock.now() + wait + OVERDUE);
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        self.roster.outbox.push(Bytes::from(request));
+        match &self.roster.wired {
+            // What fails here is read from the connection, on a later turn.
+            Some(wired) => _ = self.roster.outbox.drain(&wired.stream),
+            None => {
+                let stream = Rc::new(connect(address)?);
+                let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
+                let token = self.handle.insert_source(source, |_, _, node: &mut Node| {
+                    node.discovery_ready();
+                    Ok(PostAction::Continue)
+                });
+                let token = token.map_err(|problem| std::io::Error::other(problem.to_string()))?;
+                self.roster.wired = Some(Wired { stream, token });
+            }
+        }
+        Ok(())
+    }
+
+    fn end_discovery(&mut self, reason: &'static str) {
+        self.roster.inbox.forget();
+        self.roster.outbox = Outbox::default();
+        self.deadlines.clear(&mut self.roster.due);
+        if let Some(wired) = self.roster.wired.take() {
+            self.handle.remove(wired.token);
+            info!(self.log, "discovery ended"; "reason" => reason);
+        }
+    }
+
+    /// Before a whole list: what it does not name is gone.
+    fn all_gone(&mut self, now: Micros) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.drains.get_or_insert(now);
+        }
+    }
+
+    fn drains(&mut self, id: &str, now: Micros) {
+        let slot = self.upstream(id);
+        if let Some(upstream) = self.upstreams.get_mut(slot) {
+            upstream.drains.get_or_insert(now);
+        }
+    }
+
+    fn serves(&mut self, id: &str, address: SocketAddr) {
+        let slot = self.upstream(id);
+        let Some(upstream) = self.upstreams.get_mut(slot) else { return };
+        upstream.drains = None;
+        if upstream.address.replace(address).is_some_and(|before| before != address) {
+            self.drop_idle_links(slot, reasons::MOVED);
+        }
+    }
+
+    /// Idle connections to what drains or is gone carry nothing any more.
+    fn drop_left(&mut self) {
+        let left = self.upstreams.iter().filter(|(_, upstream)| upstream.drains.is_some());
+        let left: Vec<_> =
+            left.filter(|(_, upstream)| !upstream.idle.is_empty()).map(|(slot, _)| slot).collect();
+        left.into_iter().for_each(|slot| self.drop_idle_links(slot, reasons::DRAINED));
+    }
+}
+
+type Found = (Vec<std::ops::Range<usize>>, usize, bool);
+
+/// The body of a whole answer, its end, and whether the connection lasts; nothing while part is missing.
+fn whole_list(kept: &[u8], ended: bool) -> Result<Option<Found>, &'static str> {
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
+    let mut response = Response::new(&mut fields);
+    let head = match response.parse(kept) {
+        Ok(Status::Complete(head)) => head,
+        Ok(Status::Partial) if kept.len() < HEAD_MOST => return Ok(None),
+        _ => return Err(reasons::NONSENSE),
+    };
+    if response.code != Some(200) {
+        return Err(reasons::DISCOVERY_REFUSED);
+    }
+    let framing = heads::framing(response.headers).map_err(|_| reasons::NONSENSE)?;
+    let lasts = response.version == Some(1)
+        && framing != Framing::Unsaid
+        && !heads::lists(response.headers, "connection", "close");
+    match heads::body(kept, head, framing, ended, LIST_MOST) {
+        heads::Body::Whole(ranges, end) => Ok(Some((ranges, end, lasts))),
+        heads::Body::Partial if kept.len() < LIST_MOST => Ok(None),
+        _ => Err(reasons::NONSENSE),
+    }
+}
--- /dev/null
+++ b/node/src/wire/heads.rs
@@ -0,0 +1,155 @@
+//! Heads and bodies of HTTP/1.1 messages, on httparse. Everything here looks at bytes and keeps nothing.
+
+use std::ops::Range;
+
+use bytes::Bytes;
+use httparse::Header;
+
+/// Longest head and most fields taken from either side: what proxies commonly bear.
+pub const HEAD_MOST: usize = 16 * 1024;
+pub const FIELDS_MOST: usize = 64;
+/// Longest body that the protocol allows.
+pub const BODY_MOST: usize = 64 * 1024;
+/// Longest line that tells the size of a chunk, extensions included.
+const CHUNK_LINE_MOST: usize = 256;
+
+/// How a message's end is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    Length(usize),
+    Chunked,
+    /// Nothing says it; a request then has no body and an answer goes on to the connection's end.
+    Unsaid,
+}
+
+/// Framings that contradict each other or themselves: what follows could be read in two ways.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Conflicting;
+
+/// A body as far as it has come: the slices that hold it and where the message ends.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Body {
+    Whole(Vec<Range<usize>>, usize),
+    Partial,
+    TooLong,
+    Nonsense,
+}
+
+/// A field's value without blanks around it, where it is text.
+pub fn field<'a>(fields: &[Header<'a>], name: &str) -> Option<&'a str> {
+    let named = fields.iter().find(|field| field.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(named.value).ok().map(str::trim)
+}
+
+/// Whether a field that lists words holds one.
+pub fn lists(fields: &[Header], name: &str, word: &str) -> bool {
+    let named = fields.iter().filter(|field| field.name.eq_ignore_ascii_case(name));
+    let texts = named.filter_map(|field| std::str::from_utf8(field.value).ok());
+    texts.flat_map(|text| text.split(',')).any(|listed| listed.trim().eq_ignore_ascii_case(word))
+}
+
+pub fn framing(fields: &[Header]) -> Result<Framing, Conflicting> {
+    let mut found = Framing::Unsaid;
+    for field in fields {
+        let text = std::str::from_utf8(field.value).map(str::trim);
+        let next = if field.name.eq_ignore_ascii_case("content-length") {
+            let digits = text.ok().filter(|t| !t.is_empty() && t.bytes().all(|b| b.is_ascii_digit()));
+            // A length beyond any number is too long, not unreadable.
+            digits.map(|digits| Framing::Length(digits.parse().unwrap_or(usize::MAX)))
+        } else if field.name.eq_ignore_ascii_case("transfer-encoding") {
+            text.ok().filter(|text| text.eq_ignore_ascii_case("chunked")).map(|_| Framing::Chunked)
+        } else {
+            continue;
+        };
+        match next {
+            Some(next) if found == Framing::Unsaid || (found == next && next != Framing::Chunked) => {
+                found = next;
+            }
+            _ => return Err(Conflicting),
+        }
+    }
+    Ok(found)
+}
+
+/// The body that starts at `from`; `ended` tells that nothing more will come.
+pub fn body(bytes: &[u8], from: usize, framing: Framing, ended: bool, most: usize) -> Body {
+    match framing {
+        Framing::Length(length) if length > most => Body::TooLong,
+        Framing::Length(length) if bytes.len() < from + length => Body::Partial,
+        Framing::Length(length) => Body::Whole(std::iter::once(from..from + length).collect(), from + length),
+        Framing::Unsaid if bytes.len() - from > most => Body::TooLong,
+        Framing::Unsaid if ended => Body::Whole(std::iter::once(from..bytes.len()).collect(), bytes.len()),
+        Framing::Unsaid => Body::Partial,
+        Framing::Chunked => chunks(bytes, from, most),
+    }
+}
+
+fn chunks(bytes: &[u8], mut at: usize, most: usize) -> Body {
+    let (mut slices, mut length) = (Vec::new(), 0);
+    loop {
+        let rest = &bytes[at..];
+        match httparse::parse_chunk_size(rest) {
+            Ok(httparse::Status::Complete((line, 0))) => return trailers(bytes, at + line, slices),
+            Ok(httparse::Status::Complete((line, size))) => {
+                let size = usize::try_from(size).unwrap_or(usize::MAX);
+                length = size.saturating_add(length);
+                if length > most {
+                    return Body::TooLong;
+                }
+                let (from, to) = (at + line, at + line + size);
+                match bytes.get(to..to + 2) {
+                    Some(b"\r\n") => slices.push(from..to),
+                    Some(_) => return Body::Nonsense,
+                    None => return Body::Partial,
+                }
+                at = to + 2;
+            }
+            Ok(httparse::Status::Partial) if rest.len() < CHUNK_LINE_MOST => return Body::Partial,
+            Ok(httparse::Status::Partial) | Err(_) => return Body::Nonsense,
+        }
+    }
+}
+
+/// Fields after the last chunk are read over.
+fn trailers(bytes: &[u8], at: usize, slices: Vec<Range<usize>>) -> Body {
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
+    match httparse::parse_headers(&bytes[at..], &mut fields) {
+        Ok(httparse::Status::Complete((length, _))) => Body::Whole(slices, at + length),
+        Ok(httparse::Status::Partial) if bytes.len() - at < HEAD_MOST => Body::Partial,
+        Ok(httparse::Status::Partial) | Err(_) => Body::Nonsense,
+    }
+}
+
+/// Fields that speak of one connection only, or that the sender words anew.
+pub fn goes_on(name: &str) -> bool {
+    const STAY: [&str; 9] = [
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    !STAY.iter().any(|stays| name.eq_ignore_ascii_case(stays))
+}
+
+/// Where a part of a message lies in it: a slice of the buffer in place of a copy.
+pub fn place(message: &[u8], part: &[u8]) -> Range<usize> {
+    let from = (part.as_ptr() as usize).saturating_sub(message.as_ptr() as usize);
+    from.min(message.len())..(from + part.len()).min(message.len())
+}
+
+/// The fields that go on, as slices of the message's buffer.
+pub fn lines(message: &Bytes, fields: &[Header], goes: impl Fn(&str) -> bool) -> Vec<Bytes> {
+    let mut slices = Vec::with_capacity(4 * fields.len());
+    for field in fields.iter().filter(|field| goes(field.name)) {
+        slices.push(message.slice(place(message, field.name.as_bytes())));
+        slices.push(Bytes::from_static(b": "));
+        slices.push(message.slice(place(message, field.value)));
+        slices.push(Bytes::from_static(b"\r\n"));
+    }
+    slices
+}
--- /dev/null
+++ b/terms/src/lib.rs
@@ -0,0 +1,72 @@
+//! The settings of a deployment, decoded once into [`Terms`]: the simulator's wire and the real balancer are
+//! told the same ones.
+
+pub mod fields;
+
+use fields::{Decoded, count, flag, list, number, optional, part, text, whole};
+use pinefront::{Effect, Group, Terms, UseCase, Warming};
+use serde_json::Value;
+
+fn use_case(class: &Value) -> Decoded<UseCase> {
+    let effect = match text(class, "effect")? {
+        "safe" => Effect::Redoable,
+        "unsafe" => Effect::Irreversible,
+        "keyed" => Effect::Labelled {
+            group: match text(class, "dedupScope")? {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                other => return Err(format!("field 'dedupScope' holds unknown '{other}'")),
+            },
+            window: whole(class, "dedupWindowUs")?,
+        },
+        other => return Err(format!("field 'effect' holds unknown '{other}'")),
+    };
+    Ok(UseCase { promised_time: whole(class, "promisedTimeUs")?, effect })
+}
+
+/// What the deployment lays down, from the object that the settings are.
+pub fn terms(conf: &Value) -> Decoded<Terms> {
+    let (caps, rules) = (part(conf, "caps")?, part(conf, "rules")?);
+    let family = optional(conf, "familyInfo", Some)?.unwrap_or(&Value::Null);
+    let accounts = optional(conf, "accounts", Value::as_array)?;
+    let (balancers, own_number) = (count(conf, "fleetSize")?, count(conf, "me")?);
+    if balancers == 0 {
+        return Err("field 'fleetSize' is 0".into());
+    }
+    if own_number >= balancers {
+        return Err(format!("field 'me' is {own_number} in a fleet of {balancers}"));
+    }
+    Ok(Terms {
+        balancers,
+        own_number,
+        zone: whole(conf, "zone")?,
+        ask_within: match text(conf, "registryMode")? {
+            "ask" => Some(whole(rules, "askWithinUs")?),
+            _ => None,
+        },
+        weights_listed: text(conf, "weightKind")? != "off",
+        loads_listed: text(conf, "weightKind")? == "live",
+        keys_kept: flag(family, "warmKeys")?,
+        may_call_off: flag(caps, "cancel")?,
+        second_copies: flag(caps, "secondCopies")?,
+        most_dispatches: count(caps, "maxDispatches")?,
+        longest_come_back: match flag(caps, "retryAfter")? {
+            true => whole(caps, "maxRetryAfterUs")?,
+            false => 0,
+        },
+        warming: Warming {
+            starts_at: number(rules, "coldFrom")?,
+            warm_after: whole(rules, "warmUpUs")?,
+            multiple: number(rules, "tipMultiple")?,
+            span: whole(rules, "fallUs")?,
+        },
+        use_cases: list(conf, "useCases")?.iter().map(use_case).collect::<Decoded<_>>()?,
+        allowances: match accounts {
+            None => Vec::new(),
+            Some(accounts) => {
+                accounts.iter().map(|account| number(account, "allowancePerS")).collect::<Decoded<_>>()?
+            }
+        },
+    })
+}
