--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -13,8 +13,8 @@
 use crate::memory::deadlines::Due;
 use crate::memory::desk::Desk;
 
-/// The longest turn without anything due: the log is written on from time to time.
-const TURN_MOST: Micros = 1_000_000;
+/// The longest wait in a turn: one that lasts longer than asked for tells that we were not let run.
+const TURN_MOST: Micros = 50_000;
 
 /// The module's host: carries out its calls at the desk.
 pub struct Hands(pub Rc<RefCell<Desk>>);
@@ -60,9 +60,11 @@
 pub fn serve(event_loop: &mut EventLoop<'static, Node>, node: &mut Node, pipe: &Pipe) -> Result<(), String> {
     while !node.over {
         let wait = {
-            let desk = node.desk.borrow();
+            let mut desk = node.desk.borrow_mut();
             let now = desk.now();
-            desk.deadlines.next().map_or(TURN_MOST, |at| at.saturating_sub(now)).min(TURN_MOST)
+            let wait = desk.deadlines.next().map_or(TURN_MOST, |at| at.saturating_sub(now)).min(TURN_MOST);
+            desk.turn.begin(now, now + wait);
+            wait
         };
         event_loop
             .dispatch(Some(Duration::from_micros(wait)), node)
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -2,8 +2,10 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::time::Duration;
 
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -17,14 +19,18 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::life::log::Pipe;
+use crate::life::reasons;
 use crate::life::serve::{Hands, Node, serve};
 use crate::memory::counters::Counters;
 use crate::memory::deadlines::Deadlines;
-use crate::memory::desk::{Clock, Desk};
+use crate::memory::desk::{Clock, Desk, Turn};
 use crate::wire::discovery::Roster;
 
 /// Connections that may wait for us while a turn lasts.
 const BACKLOG: i32 = 1024;
+/// Tries to listen, and the time between them: together longer than an orderly stop takes.
+const LISTEN_TRIES: u32 = 100;
+const LISTEN_APART: Duration = Duration::from_millis(50);
 /// Descriptors kept for the rest: standard streams, listener, discovery, the loop's own, a spare few.
 const KEPT_BACK: u64 = 24;
 /// Part of the other descriptors for clients: several may wait for each that is with an upstream.
@@ -161,7 +167,21 @@
     Ok((told, place, terms))
 }
 
+/// Listens, after a short wait where the process before us has not let go of the address yet.
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let mut tries = LISTEN_TRIES;
+    loop {
+        match listen_now(address) {
+            Err(problem) if problem.kind() == ErrorKind::AddrInUse && tries > 0 => {
+                tries -= 1;
+                std::thread::sleep(LISTEN_APART);
+            }
+            done => return done,
+        }
+    }
+}
+
+fn listen_now(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
     // A restarted balancer takes its address back while old connections fade.
     socket.set_reuse_address(true)?;
@@ -205,22 +225,24 @@
         by_id: HashMap::new(),
         upstreams: SlotMap::with_key(),
         by_name: HashMap::new(),
-        roster: Roster::new(seed),
+        roster: Roster::new(seed, now),
         deadlines: Deadlines::default(),
         counters: Counters::default(),
         stopping: false,
+        turn: Turn::default(),
     }));
     let balancer = Balancer::start(Hands(Rc::clone(&desk)), seed, terms, now);
     let mut node = Node { balancer, desk, stopping: None, over: false };
     if let Some(known) = optional(told, "known", Some)? {
         // An old list that cannot be read is no reason not to serve: discovery has a new one.
-        if let Err(problem) = node.take_list(known) {
-            warn!(node.desk.borrow().log, "known list not understood"; "problem" => problem);
+        match node.take_list(known) {
+            Ok(()) => node.desk.borrow_mut().roster.only_known(),
+            Err(problem) => {
+                warn!(node.desk.borrow().log, "known list not understood"; "problem" => problem);
+            }
         }
     }
     let mut desk = node.desk.borrow_mut();
-    // The version is forgotten: the first call asks for the whole list and is answered at once.
-    desk.roster.forget_version();
     if !desk.place.asks_itself {
         desk.follow_list();
     }
@@ -243,6 +265,7 @@
     let pipe = Pipe::default();
     let mut node = open(handle, &pipe, &told, place, terms)?;
     let served = serve(&mut event_loop, &mut node, &pipe);
+    node.desk.borrow_mut().end_all();
     node.desk.borrow().tell_counters();
     pipe.flush();
     served
@@ -257,6 +280,15 @@
         }
     }
 
+    /// Ends what is still open when the program ends.
+    fn end_all(&mut self) {
+        let clients: Vec<_> = self.clients.keys().collect();
+        clients.into_iter().for_each(|slot| self.end_client(slot, reasons::STOPPED));
+        let links: Vec<_> = self.links.keys().collect();
+        links.into_iter().for_each(|slot| self.end_link(slot, reasons::STOPPED));
+        self.end_discovery(reasons::STOPPED);
+    }
+
     pub fn accept_again(&mut self) {
         if let Some((_, token)) = &self.listener
             && let Err(problem) = self.handle.enable(token)
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -47,7 +47,7 @@
         if since >= ACCEPT_ON && stop.accepting {
             stop.accepting = false;
             // What lies in the backlog counts as taken.
-            self.accept();
+            while self.accept() {}
             self.desk.borrow_mut().close_listener();
         }
         // What came in meanwhile is served, not closed.
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -39,6 +39,7 @@
     dispatches_turned_away,
     dispatches_unreachable,
     dispatches_never_sent,
+    loads_told,
     lists_asked,
     lists_taken,
     lists_failed,
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -19,6 +19,9 @@
 use crate::memory::slots::{ClientSlot, LinkSlot, TicketSlot, UpstreamSlot};
 use crate::wire::discovery::Roster;
 
+/// Waits may end so much late at any time.
+const USUALLY_LATE: Micros = 5_000;
+
 /// The module's time: Unix time as it stood at the start, carried on by a clock that never steps.
 pub struct Clock {
     started: Instant,
@@ -55,6 +58,8 @@
     pub ending: Option<&'static str>,
     /// Our sending is over; what still comes is read away, or it would break the answer's last bytes.
     pub lingers: bool,
+    /// Was told to go on with the body of the request under way.
+    pub continued: bool,
     pub due: Option<deadlines::Place>,
 }
 
@@ -117,6 +122,31 @@
     pub counters: Counters,
     /// Told to stop: not ready, and connections close between tickets.
     pub stopping: bool,
+    pub turn: Turn,
+}
+
+/// What is known of the present turn's beginning.
+#[derive(Default)]
+pub struct Turn {
+    /// How long the turn before went on after its wait should have ended.
+    pub busy: Micros,
+    /// When this turn's wait should have ended.
+    pub until: Micros,
+}
+
+impl Turn {
+    /// The next turn waits from `now` to `until`.
+    pub fn begin(&mut self, now: Micros, until: Micros) {
+        self.busy = if self.until == 0 { 0 } else { now.saturating_sub(self.until) };
+        self.until = until;
+    }
+
+    /// How long what is read now may have lain in its socket, as we were busy or not let run: its sender's time
+    /// went on.
+    pub fn late(&self, now: Micros) -> Micros {
+        let late = self.busy + now.saturating_sub(self.until);
+        if late < USUALLY_LATE { 0 } else { late }
+    }
 }
 
 impl Desk {
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -41,20 +41,20 @@
 const WAIT_MOST_MS: u64 = 3_600_000;
 
 impl Node {
-    /// Takes in what the listener has.
-    pub fn accept(&mut self) {
+    /// Takes in what the listener has; true where more may be waiting.
+    pub fn accept(&mut self) -> bool {
         for _ in 0..ACCEPT_AT_ONCE {
             let mut desk = self.desk.borrow_mut();
             let Some(listener) = desk.listener.as_ref().map(|(listener, _)| Rc::clone(listener)) else {
-                return;
+                return false;
             };
             if desk.clients.len() >= desk.place.clients_most && !desk.make_room() {
                 desk.rest_accepting();
-                return;
+                return false;
             }
             match listener.accept() {
                 Ok((stream, peer)) => desk.welcome(stream, peer),
-                Err(problem) if problem.kind() == ErrorKind::WouldBlock => return,
+                Err(problem) if problem.kind() == ErrorKind::WouldBlock => return false,
                 Err(problem) if problem.kind() == ErrorKind::Interrupted => {}
                 Err(problem) if problem.kind() == ErrorKind::ConnectionAborted => {}
                 Err(problem) => {
@@ -63,11 +63,12 @@
                     // Out of descriptors: what lies in the backlog counts as taken, so an idle one gives way.
                     if !desk.make_room() {
                         desk.rest_accepting();
-                        return;
+                        return false;
                     }
                 }
             }
         }
+        true
     }
 
     /// Something may be read from or written to a client's connection.
@@ -93,6 +94,12 @@
         let (head, body, end) = match whole_request(client.inbox.kept()) {
             Ok(Some(found)) => found,
             Ok(None) => {
+                if !client.continued && expects_word(client.inbox.kept()) {
+                    client.continued = true;
+                    client.outbox.push(Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n"));
+                    // A broken connection shows itself when it is next read.
+                    let _ = client.outbox.drain(&client.wired.stream);
+                }
                 desk.wait_for_rest(slot);
                 return false;
             }
@@ -102,6 +109,7 @@
             }
         };
         let message = client.inbox.take(end);
+        client.continued = false;
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
         let mut request = Request::new(&mut fields);
         let (Ok(_), Some(method), Some(target)) =
@@ -114,7 +122,7 @@
         let fields = &*request.headers;
         client.last = heads::lists(fields, "connection", "close")
             || (request.version == Some(0) && !heads::lists(fields, "connection", "keep-alive"));
-        let path = target.split('?').next().unwrap_or(target);
+        let path = path(target);
         if desk.own_page(slot, method, path) {
             return true;
         }
@@ -143,13 +151,14 @@
             return true;
         }
         let now = desk.now();
-        let way_back = WAY_BACK.min(wait / WAY_BACK_PART);
+        let spent = WAY_BACK.min(wait / WAY_BACK_PART) + desk.turn.late(now);
+        let hard_stop = (now + wait).saturating_sub(spent).max(now);
         let account = heads::field(fields, "x-org").map_or(0, |name| desk.place.account(name));
         let key = heads::field(fields, "x-entity").map(key_number);
         let hint = heads::field(fields, "x-estimate").and_then(|hint| hint.parse().ok());
         let ticket = desk.open(slot, id, &message, &request, &body);
         drop(borrowed);
-        self.balancer.ticket_arrived(now, &ticket, use_case, account, key, now + wait - way_back, hint);
+        self.balancer.ticket_arrived(now, &ticket, use_case, account, key, hard_stop, hint);
         true
     }
 
@@ -249,6 +258,7 @@
                     answered: 0,
                     ending: None,
                     lingers: false,
+                    continued: false,
                     due: None,
                 })
             })
@@ -414,7 +424,9 @@
     /// Pages about the balancer itself.
     fn own_page(&mut self, slot: ClientSlot, method: &str, path: &str) -> bool {
         let (status, text) = match path {
-            "/health/ready" if self.stopping || !self.roster.stands() => (503, "not ready\n".into()),
+            "/health/ready" if self.stopping || !self.roster.stands(self.clock.now()) => {
+                (503, "not ready\n".into())
+            }
             "/health/ready" => (200, "ready\n".into()),
             "/health/live" => (200, "live\n".into()),
             "/stats" => (200, self.counters.to_string()),
@@ -457,6 +469,14 @@
     client.ending.unwrap_or(reasons::CLIENT_CLOSED)
 }
 
+/// Whether a whole head asks for word before its sender goes on with the body.
+fn expects_word(kept: &[u8]) -> bool {
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
+    let mut request = Request::new(&mut fields);
+    let whole = request.parse(kept).is_ok_and(|status| status.is_complete());
+    whole && heads::lists(request.headers, "expect", "100-continue")
+}
+
 type Found = (usize, Vec<std::ops::Range<usize>>, usize);
 
 /// The length of the head, where the body lies and where the message ends; nothing while part is missing.
@@ -482,6 +502,15 @@
     }
 }
 
+/// The path of a target, which may name a host before it and a query behind it.
+fn path(target: &str) -> &str {
+    let path = match target.split_once("://") {
+        Some((_, rest)) if !target.starts_with('/') => &rest[rest.find('/').unwrap_or(rest.len())..],
+        _ => target,
+    };
+    path.split('?').next().unwrap_or(path)
+}
+
 /// The use case named by the first part of the path and, where it is given, by the class field.
 fn use_case(place: &crate::life::start::Place, fields: &[Header], path: &str) -> Option<usize> {
     let named = path.strip_prefix('/')?.split('/').next()?;
@@ -492,13 +521,13 @@
 }
 
 fn ticket_id<'a>(fields: &[Header<'a>]) -> Option<&'a str> {
-    let id = heads::field(fields, "x-txn")?;
+    let id = heads::only_field(fields, "x-txn")?;
     (!id.is_empty() && id.len() <= ID_MOST && id.bytes().all(|byte| byte.is_ascii_graphic())).then_some(id)
 }
 
 /// How long the client waits, in microseconds.
 fn remaining(fields: &[Header]) -> Option<Micros> {
-    let text = heads::field(fields, "x-remaining-ms")?;
+    let text = heads::only_field(fields, "x-remaining-ms")?;
     let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
     digits.then(|| 1000 * text.parse().unwrap_or(WAIT_MOST_MS).min(WAIT_MOST_MS))
 }
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -27,6 +27,13 @@
 /// How long an answer may take beyond that wait; a whole list may queue at discovery for two seconds first.
 const OVERDUE: Micros = 1_500_000;
 const QUEUED: Micros = 1_000_000;
+/// How long a connection to discovery may take to come about: a machine that vanished never answers.
+const CONNECT_WITHIN: Micros = 1_000_000;
+/// The shortest time between two calls: answers that come at once would have us ask without end. A watch goes
+/// on as long as the next call follows within 200 ms.
+const ASK_APART: Micros = 100_000;
+/// How long the list that we were started with, which may be old, waits for discovery's own.
+const LIST_WAIT: Micros = 200_000;
 /// Longest list taken: some thousand upstreams.
 const LIST_MOST: usize = 4 * 1024 * 1024;
 /// Where the module does not ask for the list itself: the first wait after a failed call, and its doublings.
@@ -41,37 +48,50 @@
     version: Option<u64>,
     /// A call is out.
     asking: bool,
+    /// The connection has come about.
+    connected: bool,
+    /// When the last call was made, and when its answer is overdue.
+    asked: Micros,
+    overdue: Micros,
     due: Option<Place>,
     failures: u32,
-    /// Whether the first call has ended, well or not.
-    tried: bool,
+    /// Whether there is the list that we were started with, and one of discovery's own.
+    known: bool,
+    taken: bool,
+    started: Micros,
     chance: WyRand,
 }
 
 impl Roster {
-    pub fn new(seed: u64) -> Self {
+    pub fn new(seed: u64, now: Micros) -> Self {
         Self {
             wired: None,
             inbox: Inbox::default(),
             outbox: Outbox::default(),
             version: None,
             asking: false,
+            connected: false,
+            asked: 0,
+            overdue: 0,
             due: None,
             failures: 0,
-            tried: false,
+            known: false,
+            taken: false,
+            started: now,
             chance: WyRand::new_seed(!seed),
         }
     }
 
-    /// The next call asks for the whole list.
-    pub fn forget_version(&mut self) {
+    /// What was taken is the list that we were started with; the first call asks for the whole of it.
+    pub fn only_known(&mut self) {
         self.version = None;
+        self.known = true;
     }
 
-    /// Whether there is a list to serve by: discovery's own, or the one we were started with where
-    /// discovery did not answer.
-    pub fn stands(&self) -> bool {
-        self.tried
+    /// Whether there is a list to serve by: discovery's own, or the one we were started with where discovery
+    /// does not answer at once.
+    pub fn stands(&self, now: Micros) -> bool {
+        self.taken || (self.known && (self.failures > 0 || now >= self.started + LIST_WAIT))
     }
 }
 
@@ -91,10 +111,15 @@
     }
 
     pub fn discovery_ready(&mut self) {
-        let mut desk = self.desk.borrow_mut();
+        let mut borrowed = self.desk.borrow_mut();
+        let desk = &mut *borrowed;
         let roster = &mut desk.roster;
         let Some(wired) = &roster.wired else { return };
         let failed = wired.stream.take_error().is_ok_and(|problem| problem.is_some());
+        if !roster.connected && wired.stream.peer_addr().is_ok() {
+            roster.connected = true;
+            desk.deadlines.move_to(&mut roster.due, roster.overdue, Due::Discovery);
+        }
         let written = roster.outbox.drain(&wired.stream);
         let inflow = roster.inbox.fill(&wired.stream, LIST_MOST);
         let ended = inflow != Inflow::Dry;
@@ -115,7 +140,7 @@
                 if !lasts || ended {
                     desk.end_discovery(reasons::DISCOVERY_CLOSED);
                 }
-                drop(desk);
+                drop(borrowed);
                 let taken = serde_json::from_slice(&text)
                     .map_err(|problem| problem.to_string())
                     .and_then(|list: Value| self.take_list(&list));
@@ -128,12 +153,12 @@
                 }
             }
             Ok(None) if ended || failed || unwritten => {
-                drop(desk);
+                drop(borrowed);
                 self.call_failed(reasons::DISCOVERY_BROKEN);
             }
             Ok(None) => {}
             Err(reason) => {
-                drop(desk);
+                drop(borrowed);
                 self.call_failed(reason);
             }
         }
@@ -198,16 +223,10 @@
     /// The watch goes on as long as the next call follows at once.
     fn watch_on(&mut self) {
         let mut desk = self.desk.borrow_mut();
-        desk.roster.tried = true;
+        desk.roster.taken = true;
         desk.roster.failures = 0;
-        if desk.stopping {
-            return desk.end_discovery(reasons::STOPPED);
-        }
-        let asked = desk.ask();
-        drop(desk);
-        if asked.is_err() {
-            self.call_failed(reasons::CONNECT_FAILED);
-        }
+        let at = desk.now().max(desk.roster.asked + ASK_APART);
+        desk.ask_at(at);
     }
 
     /// A call for the list failed: the list that we have stands, and the module says when to ask anew.
@@ -215,13 +234,12 @@
         let mut desk = self.desk.borrow_mut();
         desk.counters.lists_failed += 1;
         desk.end_discovery(reason);
+        let asks_itself = desk.place.asks_itself;
         let roster = &mut desk.roster;
         roster.asking = false;
-        roster.tried = true;
-        if !desk.place.asks_itself {
-            let roster = &mut desk.roster;
-            let wait = RETRY_FIRST << roster.failures.min(RETRY_DOUBLINGS);
-            roster.failures += 1;
+        let wait = RETRY_FIRST << roster.failures.min(RETRY_DOUBLINGS);
+        roster.failures += 1;
+        if !asks_itself {
             let wait = wait / 2 + roster.chance.generate_range(0..=wait / 2);
             let at = desk.now() + wait;
             desk.ask_at(at);
@@ -234,7 +252,8 @@
 impl Desk {
     /// The module wants the list followed; on a later turn, as we are inside its call.
     pub fn follow_list(&mut self) {
-        if !self.roster.asking {
+        // A watch that goes on needs no second call.
+        if !self.roster.asking && self.roster.due.is_none() {
             self.ask_at(self.clock.now());
         }
     }
@@ -253,7 +272,10 @@
         let address = self.place.discovery;
         self.counters.lists_asked += 1;
         self.roster.asking = true;
-        self.ask_at(self.clock.now() + wait + OVERDUE);
+        let now = self.clock.now();
+        (self.roster.asked, self.roster.overdue) = (now, now + wait + OVERDUE);
+        let connected = self.roster.wired.is_some();
+        self.ask_at(if connected { self.roster.overdue } else { now + CONNECT_WITHIN });
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         self.roster.outbox.push(Bytes::from(request));
         match &self.roster.wired {
@@ -273,9 +295,10 @@
         Ok(())
     }
 
-    fn end_discovery(&mut self, reason: &'static str) {
+    pub fn end_discovery(&mut self, reason: &'static str) {
         self.roster.inbox.forget();
         self.roster.outbox = Outbox::default();
+        self.roster.connected = false;
         self.deadlines.clear(&mut self.roster.due);
         if let Some(wired) = self.roster.wired.take() {
             self.handle.remove(wired.token);
--- a/node/src/wire/heads.rs
+++ b/node/src/wire/heads.rs
@@ -41,6 +41,12 @@
     std::str::from_utf8(named.value).ok().map(str::trim)
 }
 
+/// A field that may stand only once: of two, nobody can tell which is meant.
+pub fn only_field<'a>(fields: &[Header<'a>], name: &str) -> Option<&'a str> {
+    let count = fields.iter().filter(|field| field.name.eq_ignore_ascii_case(name)).count();
+    field(fields, name).filter(|_| count == 1)
+}
+
 /// Whether a field that lists words holds one.
 pub fn lists(fields: &[Header], name: &str, word: &str) -> bool {
     let named = fields.iter().filter(|field| field.name.eq_ignore_ascii_case(name));
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -175,9 +175,10 @@
             false => None,
         };
         link.carried += 1;
-        match whole && link.outbox.is_empty() && link.inbox.kept().is_empty() && !desk.stopping {
+        desk.counters.loads_told += u64::from(load.is_some());
+        match whole && link.outbox.is_empty() && link.inbox.kept().is_empty() {
             true => desk.shelve(slot),
-            false => desk.end_link(slot, if desk.stopping { reasons::STOPPED } else { reasons::LINK_LAST }),
+            false => desk.end_link(slot, reasons::LINK_LAST),
         }
         let mut told = None;
         if let Some(ticket) = desk.tickets.get_mut(errand.ticket) {
