--- a/node/src/life/log.rs
+++ b/node/src/life/log.rs
@@ -7,6 +7,9 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use slog::{Drain, KV, Logger, Never, OwnedKVList, Record, Serializer, o};
 
+#[cfg(test)]
+mod tests;
+
 /// Kept while the pipe is full: some hundred lines.
 const KEPT_MOST: usize = 64 * 1024;
 /// A pipe that is ready takes so much without waiting.
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -26,6 +26,9 @@
 use crate::memory::desk::{Clock, Desk, Turn};
 use crate::wire::discovery::Roster;
 
+#[cfg(test)]
+mod tests;
+
 /// Connections that may wait for us while a turn lasts.
 const BACKLOG: i32 = 1024;
 /// Tries to listen, and the time between them: together longer than an orderly stop takes.
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -7,6 +7,9 @@
 use crate::life::serve::Node;
 use crate::memory::deadlines::Due;
 
+#[cfg(test)]
+mod tests;
+
 /// How long new connections are taken after the signal: they go on coming until the front has noticed.
 const ACCEPT_ON: Micros = 500_000;
 /// How long a connection taken last may keep its request back.
--- /dev/null
+++ b/node/src/life/stop/tests.rs
@@ -0,0 +1,39 @@
+use rstest::rstest;
+
+use super::*;
+use crate::stand::{Stand, request, say};
+
+#[test]
+fn a_stop_answers_what_was_taken_and_closes_what_is_idle() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstreams();
+    let (busy, _) = stand.client();
+    let (idle, slot) = stand.client();
+    stand.node.desk.borrow_mut().clients[slot].answered = 1;
+    say(&busy, &request("t1", "body"));
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    stand.node.signalled(Signal::SIGTERM);
+    stand.ends(&idle);
+    let (late, _) = stand.client();
+    say(&late, "GET /health/ready HTTP/1.1\r\n\r\n");
+    assert!(stand.heard(&late, "not ready\n").starts_with("HTTP/1.1 503 "));
+    assert!(!stand.node.over);
+    say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    assert!(stand.heard(&busy, "ok").contains("Connection: close\r\n"));
+    drop((busy, late));
+    stand.until(|node| node.over.then_some(()));
+    assert!(stand.node.desk.borrow().listener.is_none());
+}
+
+#[rstest]
+#[case::accepting(0, true, false)]
+#[case::no_longer(ACCEPT_ON, false, false)]
+#[case::done(ACCEPT_ON + FIRST_REQUEST, false, true)]
+fn a_stop_goes_on_accepting_for_a_while(#[case] since: Micros, #[case] listens: bool, #[case] over: bool) {
+    let mut stand = Stand::new();
+    let began = stand.node.desk.borrow().now() - since;
+    stand.node.stopping = Some(Stop { began, accepting: true });
+    stand.node.stop_on();
+    assert_eq!((stand.node.desk.borrow().listener.is_some(), stand.node.over), (listens, over));
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -2,6 +2,8 @@
 
 mod life;
 mod memory;
+#[cfg(test)]
+mod stand;
 mod wire;
 
 use std::process::ExitCode;
--- a/node/src/memory/buffers.rs
+++ b/node/src/memory/buffers.rs
@@ -7,6 +7,9 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
+#[cfg(test)]
+mod tests;
+
 /// Asked of a socket at once: most messages fit, and an idle connection keeps no more.
 const READ_AT_ONCE: usize = 4096;
 /// Slices handed to one write; the system takes no more than 1,024.
--- a/node/src/memory/deadlines.rs
+++ b/node/src/memory/deadlines.rs
@@ -6,6 +6,9 @@
 
 use crate::memory::slots::{ClientSlot, LinkSlot, TicketSlot};
 
+#[cfg(test)]
+mod tests;
+
 /// What falls due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Due {
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -19,6 +19,9 @@
 use crate::memory::slots::{ClientSlot, LinkSlot, TicketSlot, UpstreamSlot};
 use crate::wire::discovery::Roster;
 
+#[cfg(test)]
+mod tests;
+
 /// Waits may end so much late at any time.
 const USUALLY_LATE: Micros = 5_000;
 
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -19,6 +19,9 @@
 use crate::memory::slots::{ClientSlot, TicketSlot};
 use crate::wire::heads::{self, BODY_MOST, Body, Conflicting, FIELDS_MOST, Framing, HEAD_MOST};
 
+#[cfg(test)]
+mod tests;
+
 /// How long a request may be under way, and an answer before the client has taken it all.
 const SLOW_AFTER: Micros = 10_000_000;
 /// How long a connection may stand between tickets: a client that vanished says nothing.
@@ -317,7 +320,7 @@
         }
     }
 
-    fn open(
+    pub fn open(
         &mut self,
         slot: ClientSlot,
         id: &str,
--- /dev/null
+++ b/node/src/wire/clients/tests.rs
@@ -0,0 +1,236 @@
+use rstest::rstest;
+
+use super::*;
+use crate::stand::{Stand, request, say};
+
+/// A request with one line put in place of another.
+fn with(line: &str, other: &str) -> String {
+    request("t1", "body").replace(line, other)
+}
+
+#[rstest]
+#[case::no_head("nonsense\r\n\r\n".into(), 400)]
+#[case::two_lengths(with("\r\n\r\n", "\r\nContent-Length: 5\r\n\r\n"), 400)]
+#[case::length_and_chunks(with("\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n"), 400)]
+#[case::no_id(with("X-Txn: t1\r\n", ""), 400)]
+#[case::empty_id(with("X-Txn: t1", "X-Txn:"), 400)]
+#[case::two_ids(with("X-Txn: t1", "X-Txn: t1\r\nX-Txn: t2"), 400)]
+#[case::no_time(with("X-Remaining-Ms: 900\r\n", ""), 400)]
+#[case::odd_time(with("X-Remaining-Ms: 900", "X-Remaining-Ms: -9"), 400)]
+#[case::no_label(with("Idempotency-Key: k\r\n", ""), 400)]
+#[case::long_head(with("Host: app", &format!("Host: {}", "a".repeat(HEAD_MOST))), 431)]
+#[case::many_fields(with("Host: app\r\n", &"A: b\r\n".repeat(FIELDS_MOST)), 431)]
+#[case::long_body(with("Content-Length: 4", "Content-Length: 65537"), 413)]
+#[case::longest_body(with("Content-Length: 4", "Content-Length: 99999999999999999999"), 413)]
+#[case::other_use_case(with("/pay/", "/buy/"), 404)]
+#[case::other_path(with("/pay/1?x=2", "/"), 404)]
+#[case::lane_and_path_differ(with("X-Lane: pay", "X-Lane: look"), 404)]
+#[case::wrong_method(with("POST", "GET"), 405)]
+#[case::wrong_method_of_redoable(with("/pay/", "/look/").replace("Lane: pay", "Lane: look"), 405)]
+fn what_is_no_ticket_is_answered_so(#[case] text: String, #[case] status: u16) {
+    let mut stand = Stand::new();
+    let (stream, _) = stand.client();
+    say(&stream, &text);
+    let heard = stand.heard(&stream, "\r\n\r\n");
+    assert!(heard.starts_with(&format!("HTTP/1.1 {status} ")), "{heard}");
+    assert_eq!(stand.node.desk.borrow().counters.tickets_taken, 0);
+}
+
+#[test]
+fn a_ticket_that_comes_in_pieces_goes_out_unchanged_and_is_answered() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstreams();
+    let (client, _) = stand.client();
+    let text = request("t1", "some body");
+    for piece in [&text[..30], &text[30..text.len() - 4], &text[text.len() - 4..]] {
+        say(&client, piece);
+        stand.event_loop.dispatch(Some(std::time::Duration::ZERO), &mut stand.node).unwrap();
+    }
+    let link = stand.accepted(&upstream);
+    let sent = stand.heard(&link, "some body");
+    assert!(sent.starts_with("POST /pay/1?x=2 HTTP/1.1\r\nHost: app\r\nX-Txn: t1\r\n"), "{sent}");
+    assert!(
+        sent.contains("\r\nIdempotency-Key: k\r\n") && sent.contains("\r\nContent-Length: 9\r\n"),
+        "{sent}"
+    );
+    let wait = sent.split("X-Remaining-Ms: ").nth(1).and_then(|rest| rest.split('\r').next()).unwrap();
+    assert!((1..900).contains(&wait.parse::<u64>().unwrap()), "{sent}");
+    say(
+        &link,
+        "HTTP/1.1 200 OK\r\nX-Pressure: TEXT util=0.5\r\nContent-Type: a/b\r\nContent-Length: 4\r\n\r\ndone",
+    );
+    let heard = stand.heard(&client, "done");
+    assert_eq!(heard, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Type: a/b\r\n\r\ndone");
+    let desk = stand.node.desk.borrow();
+    assert_eq!((desk.tickets.len(), desk.by_id.len(), desk.links.len(), desk.clients.len()), (0, 0, 1, 1));
+}
+
+#[test]
+fn two_requests_sent_at_once_are_answered_in_turn() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstreams();
+    let (client, _) = stand.client();
+    say(&client, &(request("t1", "one") + &request("t2", "two")));
+    for (body, answer) in [("one", "eins"), ("two", "zwei")] {
+        let link = stand.accepted(&upstream);
+        stand.heard(&link, body);
+        say(&link, &format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\n{answer}"));
+        stand.heard(&client, answer);
+    }
+}
+
+#[test]
+fn a_second_ticket_under_an_open_id_is_turned_off() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstreams();
+    let (first, _) = stand.client();
+    say(&first, &request("t1", "body"));
+    let link = stand.accepted(&upstream);
+    let (second, _) = stand.client();
+    say(&second, &request("t1", "body"));
+    assert!(stand.heard(&second, "\r\n\r\n").starts_with("HTTP/1.1 409 "));
+    stand.heard(&link, "body");
+    say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    stand.heard(&first, "ok");
+}
+
+#[test]
+fn a_client_that_leaves_has_its_dispatch_called_off() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstreams();
+    let (client, _) = stand.client();
+    say(&client, &request("t1", "body"));
+    let link = stand.accepted(&upstream);
+    drop(client);
+    stand.ends(&link);
+    let desk = stand.node.desk.borrow();
+    assert_eq!((desk.counters.tickets_left, desk.tickets.len(), desk.links.len()), (1, 0, 0));
+}
+
+#[test]
+fn where_nobody_serves_a_ticket_is_dismissed_by_the_module() {
+    let mut stand = Stand::new();
+    let (client, _) = stand.client();
+    say(&client, &request("t1", "body").replace("900", "1"));
+    assert!(stand.heard(&client, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
+    assert_eq!(stand.node.desk.borrow().counters.tickets_dismissed, 1);
+}
+
+#[rstest]
+#[case::part_of_a_request("POST /pay", "HTTP/1.1 408 ")]
+#[case::nothing("", "")]
+fn whoever_keeps_us_waiting_is_closed(#[case] sent: &str, #[case] heard: &str) {
+    let mut stand = Stand::new();
+    let (client, slot) = stand.client();
+    say(&client, sent);
+    stand.until(|node| (node.desk.borrow().clients[slot].inbox.kept().len() == sent.len()).then_some(()));
+    stand.node.client_due(slot);
+    if !heard.is_empty() {
+        assert!(stand.heard(&client, "\r\n\r\n").starts_with(heard));
+    }
+    stand.ends(&client);
+}
+
+#[test]
+fn a_request_that_trickles_in_gains_no_time() {
+    let mut stand = Stand::new();
+    let (client, slot) = stand.client();
+    say(&client, "POST /pay");
+    let idle_by = stand.node.desk.borrow().now() + 2 * SLOW_AFTER;
+    let first = stand.until(|node| node.desk.borrow().clients[slot].due.filter(|due| due.0 <= idle_by));
+    say(&client, "/1 HTTP/1.1\r\n");
+    stand.until(|node| (node.desk.borrow().clients[slot].inbox.kept().len() > 9).then_some(()));
+    assert_eq!(stand.node.desk.borrow().clients[slot].due, Some(first));
+}
+
+#[test]
+fn a_sender_that_waits_for_word_is_told_to_go_on_once() {
+    let mut stand = Stand::new();
+    let (client, _) = stand.client();
+    say(&client, &request("t1", "").replace("Length: 0", "Length: 4\r\nExpect: 100-continue"));
+    assert_eq!(stand.heard(&client, "\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+    say(&client, "body");
+    assert!(stand.heard(&client, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
+}
+
+#[test]
+fn room_is_made_by_those_between_tickets_but_not_by_unread_requests() {
+    let mut stand = Stand::new();
+    let ((fresh, _), (served, kept)) = (stand.client(), stand.client());
+    stand.node.desk.borrow_mut().clients[kept].answered = 1;
+    assert!(stand.node.desk.borrow_mut().make_room());
+    stand.ends(&served);
+    say(&fresh, "P");
+    let unread =
+        |node: &Node| node.desk.borrow().clients.values().all(|c| c.wired.stream.peek(&mut [0]).is_ok());
+    while !unread(&stand.node) {}
+    assert!(!stand.node.desk.borrow_mut().make_room());
+}
+
+#[test]
+fn a_full_house_takes_a_new_client_for_an_idle_one() {
+    let mut stand = Stand::new();
+    stand.node.desk.borrow_mut().place.clients_most = 2;
+    let (first, _) = stand.client();
+    let (_second, _) = stand.client();
+    let (third, _) = stand.client();
+    stand.ends(&first);
+    say(&third, "GET /health/live HTTP/1.1\r\n\r\n");
+    assert!(stand.heard(&third, "live\n").starts_with("HTTP/1.1 200 "));
+}
+
+#[test]
+fn ready_waits_for_a_list() {
+    let mut stand = Stand::new();
+    let (client, _) = stand.client();
+    say(&client, "GET /health/ready HTTP/1.1\r\n\r\n");
+    assert!(stand.heard(&client, "not ready\n").starts_with("HTTP/1.1 503 "));
+    let discovery = stand.discovery.try_clone().unwrap();
+    let call = stand.accepted(&discovery);
+    assert!(stand.heard(&call, "\r\n\r\n").starts_with("GET /registry/instances HTTP/1.1\r\n"));
+    let list = r#"{"rev":4,"all":true,"targets":[]}"#;
+    say(&call, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+    stand.heard(&call, "\r\n\r\n");
+    say(&client, "GET /health/ready HTTP/1.1\r\n\r\n");
+    assert!(stand.heard(&client, "ready\n").starts_with("HTTP/1.1 200 "));
+}
+
+#[test]
+fn a_client_that_wants_no_more_is_closed_after_its_answer() {
+    let mut stand = Stand::new();
+    let (client, _) = stand.client();
+    say(&client, "GET /stats HTTP/1.1\r\nConnection: close\r\n\r\n");
+    let heard = stand.heard(&client, "latest_turn_us 0\n");
+    assert!(
+        heard.contains("\r\nConnection: close\r\n") && heard.contains("\nclients_accepted 1\n"),
+        "{heard}"
+    );
+    stand.ends(&client);
+}
+
+#[rstest]
+#[case("/pay/1?x=2", "/pay/1")]
+#[case("http://app.svc/pay?x=2", "/pay")]
+#[case("http://app.svc", "")]
+#[case("/pay?to=http://x/look", "/pay")]
+fn a_path_stands_without_host_and_query(#[case] target: &str, #[case] expected: &str) {
+    assert_eq!(path(target), expected);
+}
+
+#[rstest]
+#[case("480", Some(480_000))]
+#[case("0", Some(0))]
+#[case("99999999999999999999", Some(1000 * WAIT_MOST_MS))]
+#[case("", None)]
+#[case("4.5", None)]
+#[case("+4", None)]
+fn a_client_waits_for_whole_milliseconds(#[case] text: &str, #[case] expected: Option<Micros>) {
+    let fields = [Header { name: "X-Remaining-Ms", value: text.as_bytes() }];
+    assert_eq!(remaining(&fields), expected);
+}
+
+#[test]
+fn keys_in_any_form_are_numbers() {
+    assert_eq!((key_number("k=42"), key_number("42")), (42, 42));
+    assert_ne!(key_number("k=a"), key_number("k=b"));
+}
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -21,6 +21,9 @@
 use crate::wire::heads::{self, FIELDS_MOST, Framing, HEAD_MOST};
 use crate::wire::upstreams::connect;
 
+#[cfg(test)]
+mod tests;
+
 /// How long a watch may wait at discovery. A connection that went silent is noticed no sooner, and what it
 /// had to tell counts as told two seconds after.
 const WATCH_MS: u64 = 5_000;
--- /dev/null
+++ b/node/src/wire/discovery/tests.rs
@@ -0,0 +1,104 @@
+use rstest::rstest;
+use serde_json::json;
+
+use super::*;
+use crate::stand::{Stand, entry, listener, say};
+
+fn answer(list: &Value) -> String {
+    let text = list.to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+}
+
+/// The first call for the list, taken by discovery.
+fn call(stand: &mut Stand) -> std::net::TcpStream {
+    let discovery = stand.discovery.try_clone().unwrap();
+    let call = stand.accepted(&discovery);
+    stand.heard(&call, "\r\n\r\n");
+    call
+}
+
+#[test]
+fn a_list_is_followed_by_a_watch_from_its_version() {
+    let mut stand = Stand::new();
+    let call = call(&mut stand);
+    let address = listener().local_addr().unwrap();
+    say(&call, &answer(&json!({"rev": 41, "all": true, "targets": [entry("s1", address, "active")]})));
+    let watch = stand.heard(&call, "\r\n\r\n");
+    assert!(watch.starts_with("GET /registry/instances?since=41&timeout_ms=5000 HTTP/1.1\r\n"), "{watch}");
+    let desk = stand.node.desk.borrow();
+    assert_eq!(desk.upstreams[desk.by_name["s1"]].address, Some(address));
+    assert!(desk.roster.stands(desk.now()));
+}
+
+#[rstest]
+#[case::refused("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".into())]
+#[case::nonsense("nonsense\r\n\r\n".into())]
+#[case::no_json("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{]".into())]
+#[case::no_version(answer(&json!({"all": true, "targets": []})))]
+#[case::no_entries(answer(&json!({"rev": 1, "all": true})))]
+#[case::cut_short("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{".into())]
+fn a_call_that_fails_leaves_the_list_and_is_made_again(#[case] heard: String) {
+    let mut stand = Stand::new();
+    let _upstream = stand.upstream("s1");
+    let first = call(&mut stand);
+    say(&first, &heard);
+    drop(first);
+    call(&mut stand);
+    let desk = stand.node.desk.borrow();
+    assert_eq!((desk.counters.lists_failed, desk.upstreams[desk.by_name["s1"]].drains), (1, None));
+}
+
+#[test]
+fn a_call_without_an_answer_is_given_up_and_made_again() {
+    let mut stand = Stand::new();
+    let silent = call(&mut stand);
+    stand.node.discovery_due();
+    stand.ends(&silent);
+    call(&mut stand);
+}
+
+#[test]
+fn what_a_whole_list_does_not_name_is_gone() {
+    let mut stand = Stand::new();
+    let (_first, second) = (stand.upstream("s1"), stand.upstream("s2"));
+    let entries = [entry("s2", second.local_addr().unwrap(), "active")];
+    stand.node.take_list(&json!({"rev": 2, "all": true, "targets": entries})).unwrap();
+    let desk = stand.node.desk.borrow();
+    let drains = |id: &str| desk.upstreams[desk.by_name[id]].drains.is_some();
+    assert_eq!((drains("s1"), drains("s2")), (true, false));
+}
+
+#[rstest]
+#[case::address("endpoint", json!("somewhere"))]
+#[case::state("state", json!("resting"))]
+#[case::weight("capacity_hint", json!("much"))]
+fn one_bad_entry_hides_no_other_and_gets_nothing_new(#[case] field: &str, #[case] value: Value) {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let address = upstream.local_addr().unwrap();
+    let mut bad = entry("s1", address, "active");
+    bad[field] = value;
+    stand.list(&[bad, entry("s2", address, "active")]);
+    let desk = stand.node.desk.borrow();
+    let drains = |id: &str| desk.upstreams[desk.by_name[id]].drains.is_some();
+    assert_eq!((drains("s1"), drains("s2")), (true, false));
+}
+
+#[test]
+fn the_known_list_serves_only_where_discovery_does_not_answer_at_once() {
+    let mut roster = Roster::new(1, 1_000);
+    assert!(!roster.stands(1_000 + LIST_WAIT), "without any list");
+    roster.only_known();
+    assert!(!roster.stands(1_000));
+    assert!(roster.stands(1_000 + LIST_WAIT));
+    roster.failures = 1;
+    assert!(roster.stands(1_000));
+}
+
+#[test]
+fn names_that_no_setting_holds_are_numbered_on() {
+    let stand = Stand::new();
+    let mut desk = stand.node.desk.borrow_mut();
+    let zones = ["a", "b", "c", "b"].map(|name| desk.place.zone(name));
+    assert_eq!(zones, [0, 1, 2, 1]);
+}
--- a/node/src/wire/heads.rs
+++ b/node/src/wire/heads.rs
@@ -5,6 +5,9 @@
 use bytes::Bytes;
 use httparse::Header;
 
+#[cfg(test)]
+mod tests;
+
 /// Longest head and most fields taken from either side: what proxies commonly bear.
 pub const HEAD_MOST: usize = 16 * 1024;
 pub const FIELDS_MOST: usize = 64;
--- /dev/null
+++ b/node/src/wire/heads/tests.rs
@@ -0,0 +1,80 @@
+use httparse::{EMPTY_HEADER, Header};
+use rstest::rstest;
+
+use super::*;
+
+fn named<'a>(name: &'a str, value: &'a str) -> Header<'a> {
+    Header { name, value: value.as_bytes() }
+}
+
+#[rstest]
+#[case::none(&[], Ok(Framing::Unsaid))]
+#[case::length(&[("Content-Length", "12")], Ok(Framing::Length(12)))]
+#[case::said_twice(&[("Content-Length", "12"), ("content-length", "12")], Ok(Framing::Length(12)))]
+#[case::chunked(&[("Transfer-Encoding", "Chunked")], Ok(Framing::Chunked))]
+#[case::two_lengths(&[("Content-Length", "12"), ("Content-Length", "13")], Err(Conflicting))]
+#[case::listed_lengths(&[("Content-Length", "12, 12")], Err(Conflicting))]
+#[case::signed(&[("Content-Length", "+12")], Err(Conflicting))]
+#[case::empty(&[("Content-Length", "")], Err(Conflicting))]
+#[case::both(&[("Content-Length", "12"), ("Transfer-Encoding", "chunked")], Err(Conflicting))]
+#[case::both_turned(&[("Transfer-Encoding", "chunked"), ("Content-Length", "12")], Err(Conflicting))]
+#[case::twice_chunked(&[("Transfer-Encoding", "chunked"), ("Transfer-Encoding", "chunked")], Err(Conflicting))]
+#[case::unknown_coding(&[("Transfer-Encoding", "gzip, chunked")], Err(Conflicting))]
+#[case::beyond_numbers(&[("Content-Length", "99999999999999999999999")], Ok(Framing::Length(usize::MAX)))]
+fn a_message_has_one_framing_or_is_conflicting(
+    #[case] fields: &[(&str, &str)],
+    #[case] expected: Result<Framing, Conflicting>,
+) {
+    let fields: Vec<_> = fields.iter().map(|(name, value)| named(name, value)).collect();
+    assert_eq!(framing(&fields), expected);
+}
+
+#[rstest]
+#[case::whole("abcdef", Framing::Length(4), false, Body::Whole(Vec::from_iter(Some(2..6)), 6))]
+#[case::part("abcde", Framing::Length(4), false, Body::Partial)]
+#[case::too_long("ab", Framing::Length(11), false, Body::TooLong)]
+#[case::no_overflow("ab", Framing::Length(usize::MAX), false, Body::TooLong)]
+#[case::to_the_end("abcdef", Framing::Unsaid, true, Body::Whole(Vec::from_iter(Some(2..6)), 6))]
+#[case::not_ended("abcdef", Framing::Unsaid, false, Body::Partial)]
+#[case::endless("ab01234567890", Framing::Unsaid, false, Body::TooLong)]
+#[case::chunks("ab3\r\nxyz\r\n1;e=f\r\nw\r\n0\r\n\r\n", Framing::Chunked, false, Body::Whole(vec![5..8, 17..18], 25))]
+#[case::trailers("ab0\r\nA: b\r\n\r\nmore", Framing::Chunked, false, Body::Whole(vec![], 13))]
+#[case::half_a_chunk("ab3\r\nxy", Framing::Chunked, false, Body::Partial)]
+#[case::no_last_chunk("ab3\r\nxyz\r\n", Framing::Chunked, true, Body::Partial)]
+#[case::long_chunk("abb\r\n", Framing::Chunked, false, Body::TooLong)]
+#[case::longest_chunk("abffffffffffffffff\r\n", Framing::Chunked, false, Body::TooLong)]
+#[case::wrong_end("ab3\r\nxyzab", Framing::Chunked, false, Body::Nonsense)]
+#[case::no_size("abzz\r\n", Framing::Chunked, false, Body::Nonsense)]
+fn a_body_is_found_by_its_framing(
+    #[case] bytes: &str,
+    #[case] framing: Framing,
+    #[case] ended: bool,
+    #[case] expected: Body,
+) {
+    assert_eq!(body(bytes.as_bytes(), 2, framing, ended, 10), expected);
+}
+
+#[rstest]
+#[case("close", true)]
+#[case("keep-alive, Close", true)]
+#[case("closer", false)]
+fn a_word_is_found_in_a_list(#[case] value: &str, #[case] expected: bool) {
+    assert_eq!(lists(&[named("Connection", value)], "connection", "close"), expected);
+}
+
+#[test]
+fn a_field_said_twice_is_none() {
+    let twice = [named("X-Txn", "a"), named("x-txn", "b")];
+    assert_eq!((only_field(&twice, "x-txn"), only_field(&twice[1..], "x-txn")), (None, Some("b")));
+}
+
+#[test]
+fn fields_go_on_as_slices_of_their_buffer() {
+    let message = Bytes::from_static(b"GET / HTTP/1.1\r\nA:  b c \r\nConnection: close\r\nX: y\r\n\r\n");
+    let mut fields = [EMPTY_HEADER; 8];
+    let mut request = httparse::Request::new(&mut fields);
+    request.parse(&message).unwrap();
+    let lines = lines(&message, request.headers, goes_on);
+    assert_eq!(lines.concat(), b"A: b c\r\nX: y\r\n");
+    assert_eq!(lines[0].as_ptr(), message[16..].as_ptr(), "copied");
+}
--- /dev/null
+++ b/node/src/wire/upstreams/tests.rs
@@ -0,0 +1,241 @@
+use std::net::TcpListener;
+
+use rstest::rstest;
+
+use super::*;
+use crate::stand::{Stand, entry, listener, say};
+
+const LONG: Micros = 60_000_000;
+
+/// Counts of endings by name, but for those that are none.
+fn endings(stand: &Stand) -> String {
+    let text = stand.node.desk.borrow().counters.to_string();
+    let ended = text.lines().filter_map(|line| line.strip_prefix("dispatches_"));
+    ended.filter(|line| !line.ends_with(" 0")).collect::<Vec<_>>().join(", ")
+}
+
+/// Turns until a dispatch has ended.
+fn ended(stand: &mut Stand) -> String {
+    stand.until(|node| {
+        let text = node.desk.borrow().counters.to_string();
+        text.lines().any(|line| line.starts_with("dispatches_") && !line.ends_with(" 0")).then_some(())
+    });
+    endings(stand)
+}
+
+#[rstest]
+#[case::turned_away("503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", "turned_away 1", 1)]
+#[case::late("504 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", "turned_away 1", 1)]
+#[case::not_said_unseen("503 No\r\nContent-Length: 0\r\n\r\n", "failed 1", 1)]
+#[case::error("500 No\r\nContent-Length: 2\r\n\r\nno", "failed 1", 1)]
+#[case::turned_away_error("500 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", "failed 1", 1)]
+#[case::closing("500 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "failed 1", 0)]
+#[case::word_before("100 Continue\r\n\r\nHTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "failed 1", 1)]
+#[case::more_than_asked("500 No\r\nContent-Length: 0\r\n\r\nmore", "failed 1", 0)]
+#[case::nonsense("two hundred\r\n\r\n", "failed 1", 0)]
+#[case::switching("101 Other\r\n\r\n", "failed 1", 0)]
+#[case::two_lengths("200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "failed 1", 0)]
+#[case::too_long("200 OK\r\nContent-Length: 65537\r\n\r\n", "failed 1", 0)]
+#[case::bad_chunk("200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "failed 1", 0)]
+#[case::served("200 OK\r\nContent-Length: 2\r\n\r\nok", "succeeded 1", 1)]
+#[case::served_in_chunks(
+    "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "succeeded 1",
+    1
+)]
+fn an_answer_ends_a_dispatch(#[case] answer: &str, #[case] ending: &str, #[case] idle: usize) {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let _client = stand.dispatched("t1", "s1", LONG);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    say(&link, &format!("HTTP/1.1 {answer}"));
+    assert_eq!(ended(&mut stand), ending);
+    let desk = stand.node.desk.borrow();
+    assert_eq!((desk.links.len(), desk.upstreams[desk.by_name["s1"]].idle.len()), (idle, idle));
+}
+
+#[rstest]
+#[case::nothing("", "broken 1")]
+#[case::half_a_body("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", "broken 1")]
+#[case::body_to_the_end("HTTP/1.1 200 OK\r\n\r\nab", "succeeded 1")]
+fn a_connection_that_ends_after_the_last_byte_may_have_run(#[case] answer: &str, #[case] ending: &str) {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let _client = stand.dispatched("t1", "s1", LONG);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    say(&link, answer);
+    drop(link);
+    assert_eq!(ended(&mut stand), ending);
+}
+
+#[test]
+fn a_refused_connection_is_told_on_a_later_turn() {
+    let mut stand = Stand::new();
+    drop(stand.upstream("s1"));
+    let (_client, ticket) = stand.dispatched("t1", "s1", LONG);
+    assert_eq!(endings(&stand), "");
+    assert!(stand.node.desk.borrow().tickets.contains_key(ticket));
+    assert_eq!(ended(&mut stand), "unreachable 1");
+}
+
+#[rstest]
+#[case::not_connected(false, true, "unreachable 1")]
+#[case::not_written(true, false, "unreachable 1")]
+#[case::written(true, true, "silent 1")]
+fn what_time_ran_out_on_is_proven_not_run_only_while_unwritten(
+    #[case] connected: bool,
+    #[case] written: bool,
+    #[case] ending: &str,
+) {
+    let mut stand = Stand::new();
+    let _upstream = stand.upstream("s1");
+    let _client = stand.dispatched("t1", "s1", LONG);
+    let slot = stand.node.desk.borrow().links.keys().next().unwrap();
+    {
+        let mut desk = stand.node.desk.borrow_mut();
+        let link = &mut desk.links[slot];
+        link.connected = connected;
+        if written {
+            link.outbox = Outbox::default();
+        }
+        link.errand.as_mut().unwrap().expire_at = 0;
+    }
+    stand.node.link_due(slot);
+    assert_eq!(endings(&stand), ending);
+}
+
+#[test]
+fn the_connection_used_last_is_used_next() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let _clients = [stand.dispatched("t1", "s1", LONG), stand.dispatched("t2", "s1", LONG)];
+    let (first, second) = (stand.accepted(&upstream), stand.accepted(&upstream));
+    for link in [&second, &first] {
+        stand.heard(link, "body");
+        say(link, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+        let before = stand.node.desk.borrow().counters.dispatches_failed;
+        stand.until(|node| (node.desk.borrow().counters.dispatches_failed > before).then_some(()));
+    }
+    let _third = stand.dispatched("t3", "s1", LONG);
+    stand.heard(&first, "body");
+    assert_eq!(stand.node.desk.borrow().counters.links_reused, 1);
+}
+
+/// A connection that stands idle, and its other end.
+fn idle(stand: &mut Stand, upstream: &TcpListener) -> TcpStream {
+    let _client = stand.dispatched("t0", "s1", LONG);
+    let link = stand.accepted(upstream);
+    stand.heard(&link, "body");
+    say(&link, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    ended(stand);
+    link
+}
+
+#[test]
+fn a_connection_that_the_upstream_closed_carries_nothing_more() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let link = idle(&mut stand, &upstream);
+    let slot = stand.node.desk.borrow().links.keys().next().unwrap();
+    drop(link);
+    while stand.node.desk.borrow().links[slot].wired.stream.peek(&mut [0]).is_err() {}
+    let _client = stand.dispatched("t1", "s1", LONG);
+    let fresh = stand.accepted(&upstream);
+    stand.heard(&fresh, "body");
+    assert!(!stand.node.desk.borrow().links.contains_key(slot));
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_the_upstream_would() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let link = idle(&mut stand, &upstream);
+    let (slot, due, now) = {
+        let desk = stand.node.desk.borrow();
+        let (slot, kept) = desk.links.iter().next().unwrap();
+        (slot, kept.due.unwrap().0, desk.now())
+    };
+    assert!((now + 10_000_000..now + 14_000_000).contains(&due), "{}", due - now);
+    stand.node.link_due(slot);
+    stand.ends(&link);
+}
+
+#[rstest]
+#[case::drains("leaving")]
+#[case::gone("left")]
+fn idle_connections_to_what_leaves_are_closed(#[case] state: &str) {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let link = idle(&mut stand, &upstream);
+    stand.list(&[entry("s1", upstream.local_addr().unwrap(), state)]);
+    stand.ends(&link);
+}
+
+#[test]
+fn an_upstream_that_moved_is_met_at_its_new_address() {
+    let mut stand = Stand::new();
+    let (upstream, moved) = (stand.upstream("s1"), listener());
+    let link = idle(&mut stand, &upstream);
+    stand.list(&[entry("s1", moved.local_addr().unwrap(), "active")]);
+    stand.ends(&link);
+    let _client = stand.dispatched("t1", "s1", LONG);
+    let fresh = stand.accepted(&moved);
+    stand.heard(&fresh, "body");
+}
+
+#[test]
+fn nothing_is_written_past_the_grace_to_what_drained_meanwhile() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let _client = stand.dispatched("t1", "s1", LONG);
+    {
+        let mut desk = stand.node.desk.borrow_mut();
+        let told = desk.now() - desk.place.drain_grace;
+        let slot = desk.by_name["s1"];
+        desk.upstreams[slot].drains = Some(told);
+    }
+    assert_eq!(ended(&mut stand), "unreachable 1");
+    let link = stand.accepted(&upstream);
+    let mut heard = [0];
+    assert_eq!(stand.until(|_| link.peek(&mut heard).ok()), 0);
+}
+
+#[test]
+fn calling_off_closes_the_connection_and_leaves_no_trace() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let (_client, ticket) = stand.dispatched("t1", "s1", LONG);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    Hands(stand.node.desk.clone()).call_off("t1", 0);
+    stand.ends(&link);
+    let desk = stand.node.desk.borrow();
+    assert_eq!((desk.links.len(), desk.tickets[ticket].dispatches.len()), (0, 1));
+    assert_eq!(desk.deadlines.next().map(|_| desk.links.len()), Some(0));
+}
+
+#[test]
+fn without_a_descriptor_an_idle_connection_gives_way_or_nothing_is_sent() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let link = idle(&mut stand, &upstream);
+    let other = stand.upstream("s2");
+    stand.node.desk.borrow_mut().place.links_most = 1;
+    let _clients = [stand.dispatched("t1", "s2", LONG), stand.dispatched("t2", "s1", LONG)];
+    stand.ends(&link);
+    let fresh = stand.accepted(&other);
+    stand.heard(&fresh, "body");
+    stand.until(|node| (node.desk.borrow().counters.dispatches_unreachable == 1).then_some(()));
+}
+
+#[rstest]
+#[case("TEXT inflight=7, queue=2, util=0.61", (Some(0.61), Some(2.0)))]
+#[case("busy=0.5,q=1", (Some(0.5), Some(1.0)))]
+#[case("TEXT inflight=7", (None, Some(7.0)))]
+#[case("TEXT util=NaN, queue=inf", (None, None))]
+#[case("nonsense", (None, None))]
+fn loads_are_read_as_far_as_they_can_be(#[case] text: &str, #[case] expected: (Option<f64>, Option<f64>)) {
+    assert_eq!(load(text), expected);
+}
