--- a/node/src/life/reasons.rs
+++ b/node/src/life/reasons.rs
@@ -24,6 +24,7 @@
 pub const CALLED_OFF: &str = "called_off";
 pub const SILENT: &str = "silent";
 pub const DRAINED: &str = "drained";
+pub const STALE: &str = "stale";
 pub const MOVED: &str = "moved";
 
 // The connection to discovery.
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -24,9 +24,10 @@
 #[cfg(test)]
 mod tests;
 
-/// How long a watch may wait at discovery. A connection that went silent is noticed no sooner, and what it
-/// had to tell counts as told two seconds after.
-const WATCH_MS: u64 = 5_000;
+/// How long a watch may wait at discovery. What a cut-off discovery has to tell counts as told two seconds
+/// after the wait of the call that is out, so a long wait bridges longer cuts; a discovery that comes back
+/// resets the connection, and we ask anew at once.
+const WATCH_MS: u64 = 20_000;
 /// How long an answer may take beyond that wait; a whole list may queue at discovery for two seconds first.
 const OVERDUE: Micros = 1_500_000;
 const QUEUED: Micros = 1_000_000;
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -1,6 +1,6 @@
 //! Connections to upstreams: carrying dispatches out, and what comes back.
 
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -121,7 +121,15 @@
     fn link_over(&mut self, slot: LinkSlot, ending: Ending, reason: &'static str) {
         let mut desk = self.desk.borrow_mut();
         let errand = desk.links.get_mut(slot).and_then(|link| link.errand.take());
+        let upstream = desk.links.get(slot).map(|link| link.upstream);
         desk.end_link(slot, reason);
+        // A machine that vanished leaves its other connections as silent; back again, it would reset each of
+        // them under a ticket. A new one tells at once whether it is there.
+        if let Some(upstream) =
+            upstream.filter(|_| [reasons::SILENT, reasons::CONNECT_TIMEOUT].contains(&reason))
+        {
+            desk.drop_idle_links(upstream, reasons::STALE);
+        }
         drop(desk);
         if let Some(errand) = errand {
             self.dispatch_over(errand.ticket, errand.number, ending, errand.sent);
@@ -270,11 +278,11 @@
         }
         if self.links.len() >= self.place.links_most && !self.drop_idle_link() {
             warn!(self.log, "no descriptor left for an upstream"; "links" => self.links.len());
-            return Err(Ending::Unreachable);
+            return Err(Ending::NeverSent);
         }
         let address = self.upstreams.get(upstream).and_then(|upstream| upstream.address);
-        let connected = address.ok_or_else(|| "no address".to_owned()).and_then(|address| {
-            let stream = Rc::new(connect(address).map_err(|problem| problem.to_string())?);
+        let connected = address.ok_or(ErrorKind::NotFound.into()).and_then(|address| {
+            let stream = Rc::new(connect(address)?);
             let handle = self.handle.clone();
             self.links.try_insert_with_key(|slot| {
                 let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
@@ -282,7 +290,8 @@
                     node.link_ready(slot);
                     Ok(PostAction::Continue)
                 });
-                let wired = Wired { stream, token: token.map_err(|problem| problem.to_string())? };
+                let wired =
+                    Wired { stream, token: token.map_err(|problem| io::Error::other(problem.error))? };
                 let (inbox, outbox) = (Inbox::default(), Outbox::default());
                 Ok(Link {
                     wired,
@@ -296,9 +305,13 @@
                 })
             })
         });
-        connected.inspect(|_| self.counters.links_opened += 1).map_err(|problem: String| {
-            warn!(self.log, "cannot connect"; "reason" => reasons::NOT_WIRED, "problem" => problem);
-            Ending::Unreachable
+        connected.inspect(|_| self.counters.links_opened += 1).map_err(|problem: io::Error| {
+            warn!(self.log, "cannot connect"; "reason" => reasons::NOT_WIRED, "problem" => %problem);
+            match theirs(&problem) {
+                true => Ending::Unreachable,
+                // Want of our own must not be held against the upstream.
+                false => Ending::NeverSent,
+            }
         })
     }
 
@@ -409,8 +422,15 @@
     }
 }
 
+/// Whether a connection failed at the other end or on the way, not for want of our own.
+fn theirs(problem: &io::Error) -> bool {
+    use ErrorKind::{ConnectionRefused, ConnectionReset, HostUnreachable, NetworkUnreachable, TimedOut};
+    [ConnectionRefused, ConnectionReset, HostUnreachable, NetworkUnreachable, TimedOut]
+        .contains(&problem.kind())
+}
+
 /// Begins to connect, without waiting.
-pub fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
     socket.set_tcp_nodelay(true)?;
     match socket.connect(&address.into()) {
@@ -451,6 +471,10 @@
             && framing != Framing::Unsaid
             && !heads::lists(response.headers, "connection", "close");
         return match heads::body(kept, head, framing, ended, BODY_MOST) {
+            // Nothing tells a body that ended from one that was cut short.
+            Body::Whole(..) if framing == Framing::Unsaid && response.code == Some(200) => {
+                Some(Look::Nothing)
+            }
             Body::Whole(ranges, end) => Some(Look::Answer(head, ranges, end, lasts)),
             Body::Partial if kept.len() < KEPT_MOST => Some(Look::Nothing),
             Body::Partial | Body::TooLong | Body::Nonsense => None,
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -58,7 +58,8 @@
 #[rstest]
 #[case::nothing("", "broken 1")]
 #[case::half_a_body("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", "broken 1")]
-#[case::body_to_the_end("HTTP/1.1 200 OK\r\n\r\nab", "succeeded 1")]
+#[case::nobody_knows_whether_whole("HTTP/1.1 200 OK\r\n\r\nab", "broken 1")]
+#[case::turned_away_to_the_end("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n\r\nno", "turned_away 1")]
 fn a_connection_that_ends_after_the_last_byte_may_have_run(#[case] answer: &str, #[case] ending: &str) {
     let mut stand = Stand::new();
     let upstream = stand.upstream("s1");
@@ -162,6 +163,39 @@
     stand.ends(&link);
 }
 
+#[rstest]
+#[case::silent(true)]
+#[case::never_came_up(false)]
+fn what_is_silent_loses_its_idle_connections(#[case] connected: bool) {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let (_first, _second) = (stand.dispatched("t1", "s1", LONG), stand.dispatched("t2", "s1", LONG));
+    let (kept, silent) = (stand.accepted(&upstream), stand.accepted(&upstream));
+    for link in [&kept, &silent] {
+        stand.heard(link, "body");
+    }
+    say(&kept, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    ended(&mut stand);
+    let slot = {
+        let mut desk = stand.node.desk.borrow_mut();
+        let (slot, link) = desk.links.iter_mut().find(|(_, link)| link.errand.is_some()).unwrap();
+        link.connected = connected;
+        link.errand.as_mut().unwrap().expire_at = 0;
+        slot
+    };
+    stand.node.link_due(slot);
+    stand.ends(&kept);
+    assert_eq!(stand.node.desk.borrow().links.len(), 0);
+}
+
+#[rstest]
+#[case(ErrorKind::ConnectionRefused, true)]
+#[case(ErrorKind::AddrNotAvailable, false)]
+#[case(ErrorKind::NotFound, false)]
+fn want_of_our_own_is_not_held_against_an_upstream(#[case] kind: ErrorKind, #[case] expected: bool) {
+    assert_eq!(theirs(&kind.into()), expected);
+}
+
 #[rstest]
 #[case::drains("leaving")]
 #[case::gone("left")]
@@ -227,7 +261,7 @@
     stand.ends(&link);
     let fresh = stand.accepted(&other);
     stand.heard(&fresh, "body");
-    stand.until(|node| (node.desk.borrow().counters.dispatches_unreachable == 1).then_some(()));
+    stand.until(|node| (node.desk.borrow().counters.dispatches_never_sent == 1).then_some(()));
 }
 
 #[rstest]
