One client cannot keep the loop, pile up answers or lose a 413 to a reset

Found by reading: clients.rs client_ready took message after message from one client, and write_answer queued answers without bound where they were not taken; a body far beyond 64 KiB ended in a reset before the 413 was read. A missing X-Org counted on the first account. An orderly stop no longer waits for connections that only linger.

--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -12,8 +12,8 @@
 
 /// How long new connections are taken after the signal: they go on coming until the front has noticed.
 const ACCEPT_ON: Micros = 500_000;
-/// How long a connection taken last may keep its request back.
-const FIRST_REQUEST: Micros = 300_000;
+/// How long a connection taken last may keep its request back: who opens one has something to send.
+const FIRST_REQUEST: Micros = 100_000;
 /// How often we look whether all is answered.
 const LOOK_EVERY: Micros = 20_000;
 /// When we end whatever is left: no ticket may wait that long.
@@ -60,8 +60,7 @@
         desk.close_idle_clients(since >= ACCEPT_ON + FIRST_REQUEST);
         let waiting =
             desk.clients.values().any(|client| client.ticket.is_some() || !client.outbox.is_empty());
-        let lingering = desk.clients.values().any(|client| client.lingers);
-        let done = since >= ACCEPT_ON + FIRST_REQUEST && !waiting && !lingering;
+        let done = since >= ACCEPT_ON + FIRST_REQUEST && !waiting;
         if done || since >= GIVE_UP {
             info!(desk.log, "stopped"; "unanswered" => desk.tickets.len());
             self.over = true;
--- a/node/src/memory/buffers.rs
+++ b/node/src/memory/buffers.rs
@@ -81,6 +81,11 @@
         self.slices.is_empty()
     }
 
+    #[cfg(test)]
+    pub fn length(&self) -> usize {
+        self.slices.iter().map(Bytes::len).sum()
+    }
+
     /// Writes what the socket takes.
     pub fn drain(&mut self, mut stream: &TcpStream) -> io::Result<()> {
         while !self.slices.is_empty() {
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -76,24 +76,20 @@
 
     /// Something may be read from or written to a client's connection.
     pub fn client_ready(&mut self, slot: ClientSlot) {
-        loop {
-            let looked = self.desk.borrow_mut().look(slot);
-            match looked {
-                Look::Nothing => return,
-                Look::Gone(reason) => return self.client_gone(slot, reason),
-                Look::Message => {}
-            }
-            if !self.take_message(slot) {
-                return;
-            }
+        let looked = self.desk.borrow_mut().look(slot);
+        match looked {
+            Look::Nothing => {}
+            Look::Gone(reason) => self.client_gone(slot, reason),
+            // What it sent beyond is looked at on a later turn, or one client could keep us to itself.
+            Look::Message => self.take_message(slot),
         }
     }
 
-    /// Takes the first whole message out of a client's inbox; false where none is whole yet.
-    fn take_message(&mut self, slot: ClientSlot) -> bool {
+    /// Takes the first whole message out of a client's inbox, if there is one.
+    fn take_message(&mut self, slot: ClientSlot) {
         let mut borrowed = self.desk.borrow_mut();
         let desk = &mut *borrowed;
-        let Some(client) = desk.clients.get_mut(slot) else { return false };
+        let Some(client) = desk.clients.get_mut(slot) else { return };
         let (head, body, end) = match whole_request(client.inbox.kept()) {
             Ok(Some(found)) => found,
             Ok(None) => {
@@ -103,12 +99,10 @@
                     // A broken connection shows itself when it is next read.
                     let _ = client.outbox.drain(&client.wired.stream);
                 }
-                desk.wait_for_rest(slot);
-                return false;
+                return desk.wait_for_rest(slot);
             }
             Err((status, reason)) => {
-                desk.turn_off(slot, status, reason);
-                return false;
+                return desk.turn_off(slot, status, reason);
             }
         };
         let message = client.inbox.take(end);
@@ -119,50 +113,44 @@
             (request.parse(&message[..head]), request.method, request.path)
         else {
             // Cannot be: it was parsed a moment ago.
-            desk.turn_off(slot, 400, reasons::MALFORMED);
-            return false;
+            return desk.turn_off(slot, 400, reasons::MALFORMED);
         };
         let fields = &*request.headers;
         client.last = heads::lists(fields, "connection", "close")
             || (request.version == Some(0) && !heads::lists(fields, "connection", "keep-alive"));
         let path = path(target);
         if desk.own_page(slot, method, path) {
-            return true;
+            return;
         }
         let Some(use_case) = use_case(&desk.place, fields, path) else {
-            desk.refuse(slot, 404);
-            return true;
+            return desk.refuse(slot, 404);
         };
         let wanted = if desk.place.effects[use_case] == Effect::Redoable { "GET" } else { "POST" };
         if method != wanted {
-            desk.refuse(slot, 405);
-            return true;
+            return desk.refuse(slot, 405);
         }
         let labelled = matches!(desk.place.effects[use_case], Effect::Labelled { .. });
         let (id, wait) = (ticket_id(fields), remaining(fields));
         let (Some(id), Some(wait)) = (id, wait) else {
-            desk.refuse(slot, 400);
-            return true;
+            return desk.refuse(slot, 400);
         };
         if labelled && heads::field(fields, "idempotency-key").is_none_or(str::is_empty) {
-            desk.refuse(slot, 400);
-            return true;
+            return desk.refuse(slot, 400);
         }
         if desk.by_id.contains_key(id) {
             // A second ticket under one id would push out the first, which then had no answer.
-            desk.refuse(slot, 409);
-            return true;
+            return desk.refuse(slot, 409);
         }
         let now = desk.now();
         let spent = WAY_BACK.min(wait / WAY_BACK_PART) + desk.turn.late(now);
         let hard_stop = (now + wait).saturating_sub(spent).max(now);
-        let account = heads::field(fields, "x-org").map_or(0, |name| desk.place.account(name));
+        let account =
+            heads::field(fields, "x-org").map_or(desk.place.accounts.len(), |name| desk.place.account(name));
         let key = heads::field(fields, "x-entity").map(key_number);
         let hint = heads::field(fields, "x-estimate").and_then(|hint| hint.parse().ok());
         let ticket = desk.open(slot, id, &message, &request, &body);
         drop(borrowed);
         self.balancer.ticket_arrived(now, &ticket, use_case, account, key, hard_stop, hint);
-        true
     }
 
     /// A client went away; its ticket, if one is open, needs no answer any more.
@@ -220,8 +208,14 @@
         }
         let inflow = client.inbox.fill(&client.wired.stream, KEPT_MOST);
         if client.lingers {
-            // More than a whole message after our last answer: nobody is reading it.
-            return if inflow == Inflow::Dry { Look::Nothing } else { Look::Gone(client_reason(client)) };
+            return match inflow {
+                Inflow::Dry => Look::Nothing,
+                Inflow::Full => {
+                    self.deadlines.hang(self.clock.now(), Due::NextRequest(slot));
+                    Look::Nothing
+                }
+                Inflow::Ended | Inflow::Broken => Look::Gone(client_reason(client)),
+            };
         }
         match inflow {
             Inflow::Ended if client.ticket.is_none() && !client.inbox.kept().is_empty() => {
@@ -233,9 +227,11 @@
                 self.settle(slot);
                 Look::Nothing
             }
-            Inflow::Dry | Inflow::Full if client.ticket.is_some() || client.inbox.kept().is_empty() => {
+            // Answers that are not taken must not pile up.
+            Inflow::Dry | Inflow::Full if client.ticket.is_some() || !client.outbox.is_empty() => {
                 Look::Nothing
             }
+            Inflow::Dry | Inflow::Full if client.inbox.kept().is_empty() => Look::Nothing,
             Inflow::Dry | Inflow::Full => Look::Message,
         }
     }
@@ -498,9 +494,10 @@
         Err(Conflicting) => return Err((400, reasons::MALFORMED)),
     };
     match heads::body(kept, head, framing, false, BODY_MOST) {
-        Body::Whole(ranges, end) => Ok(Some((head, ranges, end))),
+        // One that fills the inbox would leave the next unread in the socket, and nothing would call us back.
+        Body::Whole(ranges, end) if end < KEPT_MOST => Ok(Some((head, ranges, end))),
         Body::Partial if kept.len() < KEPT_MOST => Ok(None),
-        Body::Partial | Body::TooLong => Err((413, reasons::BODY_TOO_LARGE)),
+        Body::Whole(..) | Body::Partial | Body::TooLong => Err((413, reasons::BODY_TOO_LARGE)),
         Body::Nonsense => Err((400, reasons::MALFORMED)),
     }
 }
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -94,6 +94,45 @@
     stand.heard(&first, "ok");
 }
 
+#[test]
+fn answers_that_nobody_takes_do_not_pile_up() {
+    let mut stand = Stand::new();
+    let (client, slot) = stand.client();
+    let text = "GET /stats HTTP/1.1\r\n\r\n".repeat(1000);
+    // Until neither side takes more: our answers fill the way back, then requests the way here.
+    let mut sender = client.try_clone().unwrap();
+    let mut stuck = 0;
+    while stuck < 20 {
+        match std::io::Write::write(&mut sender, text.as_bytes()) {
+            Ok(_) => stuck = 0,
+            Err(_) => stuck += 1,
+        }
+        for _ in 0..200 {
+            stand.event_loop.dispatch(Some(std::time::Duration::ZERO), &mut stand.node).unwrap();
+            stand.node.deadlines();
+        }
+    }
+    let desk = stand.node.desk.borrow();
+    let client = &desk.clients[slot];
+    assert!(client.inbox.kept().len() <= KEPT_MOST && !client.outbox.is_empty());
+    assert!(client.outbox.length() < KEPT_MOST, "{}", client.outbox.length());
+}
+
+#[test]
+fn a_body_far_too_long_is_read_away_so_that_its_answer_arrives() {
+    let mut stand = Stand::new();
+    let (client, _) = stand.client();
+    say(&client, &request("t1", "").replace("Length: 0", "Length: 4000000"));
+    let mut sender = client.try_clone().unwrap();
+    let (part, mut sent) = (vec![b'x'; 100_000], 0);
+    stand.until(|_| {
+        sent += std::io::Write::write(&mut sender, &part).unwrap_or(0);
+        (sent >= 4_000_000).then_some(())
+    });
+    assert!(stand.heard(&client, "\r\n\r\n").starts_with("HTTP/1.1 413 "));
+    drop((client, sender));
+}
+
 #[test]
 fn a_client_that_leaves_has_its_dispatch_called_off() {
     let mut stand = Stand::new();
