--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -17,7 +17,9 @@
 use crate::memory::deadlines::Due;
 use crate::memory::desk::{Client, Desk, Ticket, Wired};
 use crate::memory::slots::{ClientSlot, TicketSlot};
-use crate::wire::heads::{self, BODY_MOST, Body, Conflicting, FIELDS_MOST, Framing, HEAD_MOST};
+use crate::wire::heads::{
+    self, BODY_MOST, Body, CHUNKING_MOST, Conflicting, FIELDS_MOST, Framing, HEAD_MOST,
+};
 
 #[cfg(test)]
 mod tests;
@@ -33,7 +35,10 @@
 /// Connections taken at once: those already served must not wait for a storm of new ones.
 const ACCEPT_AT_ONCE: usize = 64;
 /// What a message may take in the inbox: a head, a body, and a chunked body's framing.
-const KEPT_MOST: usize = HEAD_MOST + 2 * BODY_MOST;
+const KEPT_MOST: usize = HEAD_MOST + BODY_MOST + CHUNKING_MOST;
+/// Read while the client's ticket is open or its answer not taken: enough to see it leave, and no second message
+/// is kept beside the first.
+const READ_AHEAD: usize = 4 * 1024;
 /// Longest id taken.
 const ID_MOST: usize = 128;
 /// An answer must be with the client by its hard stop, and is so much under way at most; of short times it
@@ -206,7 +211,9 @@
         if client.lingers {
             client.inbox.forget();
         }
-        let inflow = client.inbox.fill(&client.wired.stream, KEPT_MOST);
+        let waits = client.ticket.is_some() || !client.outbox.is_empty();
+        let most = if waits { READ_AHEAD } else { KEPT_MOST };
+        let inflow = client.inbox.fill(&client.wired.stream, most);
         if client.lingers {
             return match inflow {
                 Inflow::Dry => Look::Nothing,
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -18,13 +18,13 @@
 use crate::memory::deadlines::Due;
 use crate::memory::desk::{Desk, Errand, Link, Wired};
 use crate::memory::slots::{LinkSlot, TicketSlot, UpstreamSlot};
-use crate::wire::heads::{self, BODY_MOST, Body, FIELDS_MOST, Framing, HEAD_MOST};
+use crate::wire::heads::{self, BODY_MOST, Body, CHUNKING_MOST, FIELDS_MOST, Framing, HEAD_MOST};
 
 #[cfg(test)]
 mod tests;
 
 /// What an answer may take in the inbox: a head, a body, and a chunked body's framing.
-const KEPT_MOST: usize = HEAD_MOST + 2 * BODY_MOST;
+const KEPT_MOST: usize = HEAD_MOST + BODY_MOST + CHUNKING_MOST;
 /// Part of the idle time that the settings give after which we close first: a ticket written to a connection
 /// that the upstream is closing would end broken.
 const IDLE_PART: f64 = 0.8;
