--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -29,6 +29,10 @@
 /// that the upstream is closing would end broken.
 const IDLE_PART: f64 = 0.8;
 
+/// Ends that cast doubt on an upstream's other connections: a machine that vanished leaves them all as silent,
+/// and back again it resets each under a ticket. A new one tells at once whether it is there.
+const TELLS_OF_OTHERS: [&str; 3] = [reasons::SILENT, reasons::CONNECT_TIMEOUT, reasons::LINK_BROKEN];
+
 impl Host for Hands {
     fn dispatch(&mut self, ticket: &str, upstream: &str, expire_at: Micros) {
         self.0.borrow_mut().dispatch(ticket, upstream, expire_at);
@@ -40,7 +44,11 @@
         let ticket = desk.by_id.get(ticket).and_then(|slot| desk.tickets.get(*slot));
         if let Some(link) = ticket.and_then(|ticket| ticket.dispatches.get(dispatch).copied().flatten()) {
             desk.counters.dispatches_called_off += 1;
+            let doubtful = desk.long_silent(link);
             desk.end_link(link, reasons::CALLED_OFF);
+            if let Some(upstream) = doubtful {
+                desk.drop_idle_links(upstream, reasons::STALE);
+            }
         }
     }
 
@@ -123,11 +131,7 @@
         let errand = desk.links.get_mut(slot).and_then(|link| link.errand.take());
         let upstream = desk.links.get(slot).map(|link| link.upstream);
         desk.end_link(slot, reason);
-        // A machine that vanished leaves its other connections as silent; back again, it would reset each of
-        // them under a ticket. A new one tells at once whether it is there.
-        if let Some(upstream) =
-            upstream.filter(|_| [reasons::SILENT, reasons::CONNECT_TIMEOUT].contains(&reason))
-        {
+        if let Some(upstream) = upstream.filter(|_| TELLS_OF_OTHERS.contains(&reason)) {
             desk.drop_idle_links(upstream, reasons::STALE);
         }
         drop(desk);
@@ -375,6 +379,13 @@
         }
     }
 
+    /// The upstream of a connection on which nothing came for as long as a new one may take to come about.
+    fn long_silent(&self, slot: LinkSlot) -> Option<UpstreamSlot> {
+        let link = self.links.get(slot)?;
+        let waited = self.now().saturating_sub(link.errand.as_ref()?.sent);
+        (waited > self.place.connect_timeout && link.inbox.kept().is_empty()).then_some(link.upstream)
+    }
+
     /// Closes the idle connection whose time runs out first, to make room.
     pub fn drop_idle_link(&mut self) -> bool {
         let idle = self.links.iter().filter(|(_, link)| link.errand.is_none() && link.connected);
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -164,28 +164,44 @@
 }
 
 #[rstest]
-#[case::silent(true)]
-#[case::never_came_up(false)]
-fn what_is_silent_loses_its_idle_connections(#[case] connected: bool) {
+#[case::silent(LONG, |stand: &mut Stand, slot| stand.node.link_due(slot), 0)]
+#[case::never_came_up(LONG, |stand: &mut Stand, slot| {
+    stand.node.desk.borrow_mut().links[slot].connected = false;
+    stand.node.link_due(slot);
+}, 0)]
+#[case::broken(LONG, |stand: &mut Stand, slot| {
+    let stream = stand.node.desk.borrow().links[slot].wired.stream.clone();
+    stream.shutdown(std::net::Shutdown::Both).unwrap();
+    stand.node.link_ready(slot);
+}, 0)]
+#[case::called_off_late(LONG, |stand: &mut Stand, _| Hands(stand.node.desk.clone()).call_off("t2", 0), 0)]
+#[case::called_off_early(0, |stand: &mut Stand, _| Hands(stand.node.desk.clone()).call_off("t2", 0), 1)]
+fn doubt_about_one_connection_ends_the_idle_ones(
+    #[case] waited: Micros,
+    #[case] act: fn(&mut Stand, LinkSlot),
+    #[case] left: usize,
+) {
     let mut stand = Stand::new();
     let upstream = stand.upstream("s1");
     let (_first, _second) = (stand.dispatched("t1", "s1", LONG), stand.dispatched("t2", "s1", LONG));
-    let (kept, silent) = (stand.accepted(&upstream), stand.accepted(&upstream));
-    for link in [&kept, &silent] {
+    let links = [stand.accepted(&upstream), stand.accepted(&upstream)];
+    for link in &links {
         stand.heard(link, "body");
     }
-    say(&kept, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
-    ended(&mut stand);
-    let slot = {
-        let mut desk = stand.node.desk.borrow_mut();
-        let (slot, link) = desk.links.iter_mut().find(|(_, link)| link.errand.is_some()).unwrap();
-        link.connected = connected;
-        link.errand.as_mut().unwrap().expire_at = 0;
-        slot
+    let find = |stand: &Stand, id: &str| {
+        let desk = stand.node.desk.borrow();
+        desk.tickets[desk.by_id[id]].dispatches[0].unwrap()
     };
-    stand.node.link_due(slot);
-    stand.ends(&kept);
-    assert_eq!(stand.node.desk.borrow().links.len(), 0);
+    let (idle, slot) = (find(&stand, "t1"), find(&stand, "t2"));
+    {
+        let mut desk = stand.node.desk.borrow_mut();
+        desk.links[idle].errand = None;
+        desk.shelve(idle);
+        let errand = desk.links[slot].errand.as_mut().unwrap();
+        (errand.sent, errand.expire_at) = (errand.sent - waited, 0);
+    }
+    act(&mut stand, slot);
+    assert_eq!(stand.node.desk.borrow().links.len(), left);
 }
 
 #[rstest]
