--- a/node/src/life/log.rs
+++ b/node/src/life/log.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// Whether standard error takes some bytes without waiting; others may share it, so its flags stay as they are.
+/// Whether standard error takes some bytes without waiting. Others may share it: its flags stay as they are.
 fn takes_more() -> bool {
     let stderr = std::io::stderr();
     let mut fds = [PollFd::new(&stderr, PollFlags::OUT)];
--- /dev/null
+++ b/node/src/life/place.rs
@@ -0,0 +1,148 @@
+//! What a balancer is told: its addresses, its limits, and the settings that the network code reads.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use pinefront::{Effect, Micros, Terms};
+use pinefront_terms::fields::{Decoded, list, optional, part, text, whole};
+use pinefront_terms::terms;
+use serde_json::Value;
+
+#[cfg(test)]
+mod tests;
+
+/// Descriptors kept for the rest: standard streams, listener, discovery, the loop's own, a spare few.
+const KEPT_BACK: u64 = 24;
+/// Part of the other descriptors for clients: several may wait for each that is with an upstream.
+const CLIENTS_PART: f64 = 0.6;
+/// Fewest descriptors that serve anybody.
+const FEWEST: u64 = 64;
+
+/// Where this balancer stands: its addresses, its limits, and names as numbers.
+pub struct Place {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub clients_most: usize,
+    pub links_most: usize,
+    pub use_cases: Vec<String>,
+    pub effects: Vec<Effect>,
+    pub accounts: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub idle: Micros,
+    pub connect_timeout: Micros,
+    pub drain_grace: Micros,
+    /// The module asks for the list itself.
+    pub asks_itself: bool,
+    /// Answers hold load reports.
+    pub loads_told: bool,
+}
+
+/// What `BALANCER_*` variables say, by the rest of their names.
+pub type Variables = HashMap<String, String>;
+
+impl Place {
+    /// An account that no term names is numbered beyond them.
+    pub fn account(&self, name: &str) -> usize {
+        self.accounts.iter().position(|known| known == name).unwrap_or(self.accounts.len())
+    }
+
+    pub fn zone(&mut self, name: &str) -> u64 {
+        numbered(&mut self.zones, name)
+    }
+
+    pub fn kind(&mut self, name: &str) -> u64 {
+        numbered(&mut self.kinds, name)
+    }
+
+    pub fn decode(told: &Value, variables: &Variables, most_open: u64) -> Decoded<(Self, Terms)> {
+        let settings = part(told, "settings")?;
+        let terms = terms(settings).map_err(|problem| format!("in 'settings': {problem}"))?;
+        let caps = part(settings, "caps")?;
+        let limit = match optional(told, "limits", Some)? {
+            Some(limits) => optional(limits, "sockets", Value::as_u64)?.unwrap_or(most_open),
+            None => most_open,
+        };
+        let open = limit.min(most_open);
+        if open < FEWEST {
+            return Err(format!("field 'sockets' is {open}, and {FEWEST} are the fewest to serve with"));
+        }
+        let room = (open - KEPT_BACK) as usize;
+        let clients_most = (room as f64 * CLIENTS_PART) as usize;
+        let seed = text(told, "seed")?;
+        let names = |object: &Value, name: &str| -> Decoded<Vec<String>> {
+            list(object, name)?.iter().map(|entry| text(entry, "name").map(str::to_owned)).collect()
+        };
+        let words = |name: &str| -> Decoded<Vec<String>> {
+            let word = |entry: &Value| entry.as_str().map(str::to_owned);
+            let wrong = || format!("field '{name}' holds what is no text");
+            list(settings, name)?.iter().map(|entry| word(entry).ok_or_else(wrong)).collect()
+        };
+        let place = Self {
+            name: named(told, variables, "name")?,
+            listen: address(told, variables, "listen")?,
+            discovery: address(told, variables, "discovery")?,
+            seed: u64::from_str_radix(seed, 16).map_err(|_| "field 'seed' is no hexadecimal number")?,
+            clients_most,
+            links_most: room - clients_most,
+            use_cases: names(settings, "useCases")?,
+            effects: terms.use_cases.iter().map(|use_case| use_case.effect).collect(),
+            accounts: match optional(settings, "accounts", Value::as_array)? {
+                Some(_) => names(settings, "accounts")?,
+                None => Vec::new(),
+            },
+            zones: words("dcs")?,
+            kinds: words("kinds")?,
+            idle: whole(caps, "connIdleUs")?,
+            connect_timeout: whole(caps, "connectTimeoutUs")?,
+            drain_grace: whole(part(settings, "rules")?, "drainGraceUs")?,
+            asks_itself: terms.ask_within.is_some(),
+            loads_told: text(part(settings, "report")?, "source")? == "inline",
+        };
+        Ok((place, terms))
+    }
+}
+
+fn numbered(names: &mut Vec<String>, name: &str) -> u64 {
+    let at = names.iter().position(|known| known == name).unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    });
+    at as u64
+}
+
+/// What a variable says, or else the file.
+fn named(told: &Value, variables: &Variables, name: &str) -> Decoded<String> {
+    match variables.get(&name.to_uppercase()) {
+        Some(value) => Ok(value.clone()),
+        None => text(told, name).map(str::to_owned),
+    }
+}
+
+fn address(told: &Value, variables: &Variables, name: &str) -> Decoded<SocketAddr> {
+    let value = named(told, variables, name)?;
+    value.parse().map_err(|_| format!("field '{name}' is '{value}', no address and port"))
+}
+
+/// The variables that speak to a balancer.
+pub fn variables() -> Variables {
+    let ours = |(name, value): (String, String)| Some((name.strip_prefix("BALANCER_")?.to_owned(), value));
+    // A variable that is no text is none of ours.
+    let texts = std::env::vars_os().filter_map(|(n, v)| Some((n.into_string().ok()?, v.into_string().ok()?)));
+    texts.filter_map(ours).collect()
+}
+
+/// Reads the file that tells a balancer where it stands.
+pub fn read(path: Option<&str>, variables: &Variables) -> Decoded<(Value, Place, Terms)> {
+    let path = path.or(variables.get("CONFIG").map(String::as_str));
+    let path = path.ok_or("no file named: give --config or set BALANCER_CONFIG")?;
+    let bytes = std::fs::read(path).map_err(|problem| format!("cannot read {path}: {problem}"))?;
+    let told: Value =
+        serde_json::from_slice(&bytes).map_err(|problem| format!("{path} is not JSON: {problem}"))?;
+    let most_open = rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX);
+    let (place, terms) =
+        Place::decode(&told, variables, most_open).map_err(|problem| format!("in {path}: {problem}"))?;
+    Ok((told, place, terms))
+}
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -4,8 +4,10 @@
 use pinefront::Micros;
 use slog::info;
 
+use crate::life::reasons;
 use crate::life::serve::Node;
 use crate::memory::deadlines::Due;
+use crate::memory::desk::Desk;
 
 #[cfg(test)]
 mod tests;
@@ -69,3 +71,22 @@
         desk.deadlines.hang(now + LOOK_EVERY, Due::Stop);
     }
 }
+
+impl Desk {
+    /// The counters, a line each.
+    pub fn tell_counters(&self) {
+        for line in self.counters.to_string().lines() {
+            info!(self.log, "counter"; "of" => line.split(' ').next().unwrap_or(""),
+                "is" => line.split(' ').next_back().unwrap_or(""));
+        }
+    }
+
+    /// Ends what is still open when the program ends.
+    pub fn end_all(&mut self) {
+        let clients: Vec<_> = self.clients.keys().collect();
+        clients.into_iter().for_each(|slot| self.end_client(slot, reasons::STOPPED));
+        let links: Vec<_> = self.links.keys().collect();
+        links.into_iter().for_each(|slot| self.end_link(slot, reasons::STOPPED));
+        self.end_discovery(reasons::STOPPED);
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,8 +18,9 @@
   pinefront version                 prints the version
   pinefront help                    prints this
 
-FILE is what BALANCER_CONFIG names where it is not given. BALANCER_NAME, BALANCER_LISTEN and BALANCER_DISCOVERY
-go before what the file says. SIGUSR1 writes the counters to the log; GET /stats answers with them.
+FILE is what BALANCER_CONFIG names where it is not given. BALANCER_NAME, BALANCER_LISTEN and
+BALANCER_DISCOVERY go before what the file says. SIGUSR1 writes the counters to the log; GET /stats
+answers with them.
 ";
 
 fn command() -> Result<(), String> {
@@ -42,7 +43,7 @@
     match command.as_deref() {
         Some("serve") => life::start::run(file.as_deref()),
         Some("check") => {
-            life::start::read(file.as_deref(), &life::start::variables())?;
+            life::place::read(file.as_deref(), &life::place::variables())?;
             println!("well-formed");
             Ok(())
         }
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use calloop::{LoopHandle, RegistrationToken};
@@ -11,37 +10,15 @@
 use slog::Logger;
 use slotmap::SlotMap;
 
+use crate::life::place::Place;
 use crate::life::serve::Node;
-use crate::life::start::Place;
 use crate::memory::buffers::{Inbox, Outbox};
+use crate::memory::clock::{Clock, Turn};
 use crate::memory::counters::Counters;
 use crate::memory::deadlines::{self, Deadlines};
 use crate::memory::slots::{ClientSlot, LinkSlot, TicketSlot, UpstreamSlot};
 use crate::wire::discovery::Roster;
 
-#[cfg(test)]
-mod tests;
-
-/// Waits may end so much late at any time.
-const USUALLY_LATE: Micros = 5_000;
-
-/// The module's time: Unix time as it stood at the start, carried on by a clock that never steps.
-pub struct Clock {
-    started: Instant,
-    paired: Micros,
-}
-
-impl Clock {
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { started: Instant::now(), paired: unix.as_micros() as Micros }
-    }
-
-    pub fn now(&self) -> Micros {
-        self.paired + self.started.elapsed().as_micros() as Micros
-    }
-}
-
 /// A socket with its place in the event loop.
 pub struct Wired {
     pub stream: Rc<TcpStream>,
@@ -94,8 +71,8 @@
     pub drains: Option<Micros>,
 }
 
-/// A ticket that has no final answer yet, or still has a dispatch out. Its message is slices of the buffer that the client's connection
-/// read it into.
+/// A ticket that has no final answer yet, or still has a dispatch out. Its message is slices of the buffer
+/// that the client's connection read it into.
 pub struct Ticket {
     pub id: Rc<str>,
     /// Who waits for the final answer; nobody once that is given or the client has left.
@@ -128,30 +105,6 @@
     pub turn: Turn,
 }
 
-/// What is known of the present turn's beginning.
-#[derive(Default)]
-pub struct Turn {
-    /// How long the turn before went on after its wait should have ended.
-    pub busy: Micros,
-    /// When this turn's wait should have ended.
-    pub until: Micros,
-}
-
-impl Turn {
-    /// The next turn waits from `now` to `until`.
-    pub fn begin(&mut self, now: Micros, until: Micros) {
-        self.busy = if self.until == 0 { 0 } else { now.saturating_sub(self.until) };
-        self.until = until;
-    }
-
-    /// How long what is read now may have lain in its socket, as we were busy or not let run: its sender's time
-    /// went on.
-    pub fn late(&self, now: Micros) -> Micros {
-        let late = self.busy + now.saturating_sub(self.until);
-        if late < USUALLY_LATE { 0 } else { late }
-    }
-}
-
 impl Desk {
     pub fn now(&self) -> Micros {
         self.clock.now()
--- a/node/src/stand.rs
+++ b/node/src/stand.rs
@@ -9,8 +9,9 @@
 use serde_json::{Value, json};
 
 use crate::life::log::Pipe;
+use crate::life::place::{Place, Variables};
 use crate::life::serve::{Hands, Node};
-use crate::life::start::{Place, Variables, open};
+use crate::life::start::open;
 use crate::memory::slots::{ClientSlot, TicketSlot};
 
 /// Far more than anything here takes: beyond it a test has failed.
--- /dev/null
+++ b/node/src/wire/accepting.rs
@@ -0,0 +1,134 @@
+//! The listener: taking clients in, and making room for them.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction};
+use pinefront::Micros;
+use slog::warn;
+
+use crate::life::reasons;
+use crate::life::serve::Node;
+use crate::memory::buffers::{Inbox, Outbox};
+use crate::memory::deadlines::Due;
+use crate::memory::desk::{Client, Desk, Wired};
+use crate::wire::clients::IDLE_MOST;
+
+/// How long accepting rests when no descriptor can be had.
+const ACCEPT_REST: Micros = 10_000;
+/// Connections taken at once: those already served must not wait for a storm of new ones.
+const ACCEPT_AT_ONCE: usize = 64;
+
+impl Node {
+    /// Takes in what the listener has; true where more may be waiting.
+    pub fn accept(&mut self) -> bool {
+        for _ in 0..ACCEPT_AT_ONCE {
+            let mut desk = self.desk.borrow_mut();
+            let Some(listener) = desk.listener.as_ref().map(|(listener, _)| Rc::clone(listener)) else {
+                return false;
+            };
+            if desk.clients.len() >= desk.place.clients_most && !desk.make_room() {
+                desk.rest_accepting();
+                return false;
+            }
+            match listener.accept() {
+                Ok((stream, peer)) => desk.welcome(stream, peer),
+                Err(problem) if problem.kind() == ErrorKind::WouldBlock => return false,
+                Err(problem) if problem.kind() == ErrorKind::Interrupted => {}
+                Err(problem) if problem.kind() == ErrorKind::ConnectionAborted => {}
+                Err(problem) => {
+                    desk.counters.accepts_failed += 1;
+                    warn!(desk.log, "accept failed"; "problem" => %problem);
+                    // Out of descriptors: what lies in the backlog counts as taken, so an idle one gives way.
+                    if !desk.make_room() {
+                        desk.rest_accepting();
+                        return false;
+                    }
+                }
+            }
+        }
+        true
+    }
+}
+
+impl Desk {
+    fn welcome(&mut self, stream: TcpStream, peer: SocketAddr) {
+        let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+        let (handle, stream) = (self.handle.clone(), Rc::new(stream));
+        let made = ready.map_err(|problem| problem.to_string()).and_then(|()| {
+            self.clients.try_insert_with_key(|slot| {
+                let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
+                let token = handle.insert_source(source, move |_, _, node: &mut Node| {
+                    node.client_ready(slot);
+                    Ok(PostAction::Continue)
+                });
+                let wired = Wired { stream, token: token.map_err(|problem| problem.to_string())? };
+                Ok(Client {
+                    wired,
+                    peer,
+                    inbox: Inbox::default(),
+                    outbox: Outbox::default(),
+                    ticket: None,
+                    last: false,
+                    answered: 0,
+                    ending: None,
+                    lingers: false,
+                    continued: false,
+                    due: None,
+                })
+            })
+        });
+        match made {
+            Ok(slot) => {
+                self.counters.clients_accepted += 1;
+                self.client_waits(slot, IDLE_MOST);
+            }
+            Err(problem) => {
+                self.counters.accepts_failed += 1;
+                warn!(self.log, "connection lost at once"; "reason" => reasons::NOT_WIRED, "peer" => %peer,
+                    "problem" => problem);
+            }
+        }
+    }
+
+    /// Closes a client's connection that waits for nothing of ours, or an idle one upstream: first those
+    /// that stood between tickets for longest, then fresh ones, then those with part of a request.
+    pub fn make_room(&mut self) -> bool {
+        let waits = |client: &&Client| client.ticket.is_none() && client.outbox.is_empty();
+        // What lies unread in the socket may be a whole request, and then it is taken.
+        let unread = |client: &Client| client.wired.stream.peek(&mut [0]).is_ok_and(|count| count > 0);
+        let last = |client: &Client| (!client.inbox.kept().is_empty(), client.answered == 0, client.due);
+        let mut waiting: Vec<_> = self.clients.iter().filter(|(_, client)| waits(client)).collect();
+        waiting.sort_by_key(|(_, client)| last(client));
+        match waiting.into_iter().find(|(_, client)| !unread(client)).map(|(slot, _)| slot) {
+            Some(slot) => self.end_client(slot, reasons::MADE_ROOM),
+            None => return self.drop_idle_link(),
+        }
+        true
+    }
+
+    fn rest_accepting(&mut self) {
+        if let Some((_, token)) = &self.listener {
+            if let Err(problem) = self.handle.disable(token) {
+                warn!(self.log, "cannot rest accepting"; "problem" => %problem);
+            }
+            self.deadlines.hang(self.clock.now() + ACCEPT_REST, Due::Accept);
+        }
+    }
+
+    pub fn accept_again(&mut self) {
+        if let Some((_, token)) = &self.listener
+            && let Err(problem) = self.handle.enable(token)
+        {
+            warn!(self.log, "cannot accept again"; "problem" => %problem);
+        }
+    }
+
+    pub fn close_listener(&mut self) {
+        if let Some((_, token)) = self.listener.take() {
+            self.handle.remove(token);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/wire/answers/tests.rs
@@ -0,0 +1,13 @@
+use rstest::rstest;
+
+use super::*;
+
+#[rstest]
+#[case("TEXT inflight=7, queue=2, util=0.61", (Some(0.61), Some(2.0)))]
+#[case("busy=0.5,q=1", (Some(0.5), Some(1.0)))]
+#[case("TEXT inflight=7", (None, Some(7.0)))]
+#[case("TEXT util=NaN, queue=inf", (None, None))]
+#[case("nonsense", (None, None))]
+fn loads_are_read_as_far_as_they_can_be(#[case] text: &str, #[case] expected: (Option<f64>, Option<f64>)) {
+    assert_eq!(load(text), expected);
+}
--- /dev/null
+++ b/node/src/wire/hands.rs
@@ -0,0 +1,107 @@
+//! The module's calls, carried out at once. What fails here is told on a later turn, as we are inside a call
+//! of the module.
+
+use bytes::Bytes;
+use pinefront::{Ending, Host, Micros};
+
+use crate::life::reasons;
+use crate::life::serve::Hands;
+use crate::memory::deadlines::Due;
+use crate::memory::desk::{Desk, Errand};
+
+impl Host for Hands {
+    fn dispatch(&mut self, ticket: &str, upstream: &str, expire_at: Micros) {
+        self.0.borrow_mut().dispatch(ticket, upstream, expire_at);
+    }
+
+    /// Calling off closes the connection: the upstream sees that nobody waits.
+    fn call_off(&mut self, ticket: &str, dispatch: usize) {
+        let mut desk = self.0.borrow_mut();
+        let ticket = desk.by_id.get(ticket).and_then(|slot| desk.tickets.get(*slot));
+        if let Some(link) = ticket.and_then(|ticket| ticket.dispatches.get(dispatch).copied().flatten()) {
+            desk.counters.dispatches_called_off += 1;
+            let doubtful = desk.long_silent(link);
+            desk.end_link(link, reasons::CALLED_OFF);
+            if let Some(upstream) = doubtful {
+                desk.drop_idle_links(upstream, reasons::STALE);
+            }
+        }
+    }
+
+    fn dismiss(&mut self, ticket: &str, come_back_after: Micros) {
+        let mut desk = self.0.borrow_mut();
+        let Some(slot) = desk.by_id.get(ticket).copied() else { return };
+        let mut fields = Vec::new();
+        if come_back_after > 0 {
+            fields.push(Bytes::from(format!("Retry-After: {:.3}\r\n", come_back_after as f64 / 1e6)));
+        }
+        desk.counters.tickets_dismissed += 1;
+        desk.answer(slot, 503, fields, Vec::new());
+    }
+
+    fn abandon(&mut self, ticket: &str) {
+        let mut desk = self.0.borrow_mut();
+        let Some(slot) = desk.by_id.get(ticket).copied() else { return };
+        desk.counters.tickets_abandoned += 1;
+        desk.answer(slot, 502, Vec::new(), Vec::new());
+    }
+
+    fn wake(&mut self, after: Micros, alarm: u64) {
+        let mut desk = self.0.borrow_mut();
+        let at = desk.now().saturating_add(after);
+        desk.deadlines.hang(at, Due::Alarm(alarm));
+    }
+
+    fn follow_list(&mut self) {
+        let mut desk = self.0.borrow_mut();
+        desk.follow_list();
+    }
+}
+
+impl Desk {
+    fn dispatch(&mut self, id: &str, upstream: &str, expire_at: Micros) {
+        let now = self.now();
+        let Some(ticket) = self.by_id.get(id).copied() else { return };
+        self.counters.dispatches += 1;
+        let linked = match self.by_name.get(upstream) {
+            _ if expire_at <= now => Err(Ending::NeverSent),
+            Some(&upstream) => self.link_to(upstream),
+            None => Err(Ending::Unreachable),
+        };
+        let Some(open) = self.tickets.get_mut(ticket) else { return };
+        let number = open.dispatches.len();
+        open.dispatches.push(linked.ok());
+        let slot = match linked {
+            Ok(slot) => slot,
+            Err(ending) => {
+                self.deadlines.hang(now, Due::Unsent(ticket, number, ending));
+                return;
+            }
+        };
+        let Some(link) = self.links.get_mut(slot) else { return };
+        let address = self.upstreams.get(link.upstream).and_then(|upstream| upstream.address);
+        open.head.iter().for_each(|slice| link.outbox.push(slice.clone()));
+        let length: usize = open.body.iter().map(Bytes::len).sum();
+        let mut added = format!("X-Remaining-Ms: {}\r\n", (expire_at - now).div_ceil(1000));
+        if let Some(address) = address.filter(|_| !open.has_host) {
+            added += &format!("Host: {address}\r\n");
+        }
+        if length > 0 || open.has_body {
+            added += &format!("Content-Length: {length}\r\n");
+        }
+        link.outbox.push(Bytes::from(added + "\r\n"));
+        open.body.iter().for_each(|slice| link.outbox.push(slice.clone()));
+        let connect_by = now + self.place.connect_timeout;
+        link.errand = Some(Errand { ticket, number, sent: now, expire_at });
+        if !link.connected {
+            self.link_waits(slot, connect_by.min(expire_at));
+            return;
+        }
+        self.counters.links_reused += 1;
+        // What fails here is looked at on a later turn: we are inside a call of the module.
+        if link.outbox.drain(&link.wired.stream).is_err() {
+            self.deadlines.hang(now, Due::LinkTurn(slot));
+        }
+        self.link_waits(slot, expire_at);
+    }
+}
--- a/node/src/wire/heads.rs
+++ b/node/src/wire/heads.rs
@@ -14,7 +14,9 @@
 /// Longest body that the protocol allows.
 pub const BODY_MOST: usize = 64 * 1024;
 /// What the framing of a chunked body may take beside it.
-pub const CHUNKING_MOST: usize = 16 * 1024;
+const CHUNKING_MOST: usize = 16 * 1024;
+/// What a whole message may take in an inbox.
+pub const MESSAGE_MOST: usize = HEAD_MOST + BODY_MOST + CHUNKING_MOST;
 /// Longest line that tells the size of a chunk, extensions included.
 const CHUNK_LINE_MOST: usize = 256;
 
--- a/node/src/wire/heads/tests.rs
+++ b/node/src/wire/heads/tests.rs
@@ -18,7 +18,7 @@
 #[case::empty(&[("Content-Length", "")], Err(Conflicting))]
 #[case::both(&[("Content-Length", "12"), ("Transfer-Encoding", "chunked")], Err(Conflicting))]
 #[case::both_turned(&[("Transfer-Encoding", "chunked"), ("Content-Length", "12")], Err(Conflicting))]
-#[case::twice_chunked(&[("Transfer-Encoding", "chunked"), ("Transfer-Encoding", "chunked")], Err(Conflicting))]
+#[case::twice(&[("Transfer-Encoding", "chunked"), ("Transfer-Encoding", "chunked")], Err(Conflicting))]
 #[case::unknown_coding(&[("Transfer-Encoding", "gzip, chunked")], Err(Conflicting))]
 #[case::beyond_numbers(&[("Content-Length", "99999999999999999999999")], Ok(Framing::Length(usize::MAX)))]
 fn a_message_has_one_framing_or_is_conflicting(
@@ -37,7 +37,7 @@
 #[case::to_the_end("abcdef", Framing::Unsaid, true, Body::Whole(Vec::from_iter(Some(2..6)), 6))]
 #[case::not_ended("abcdef", Framing::Unsaid, false, Body::Partial)]
 #[case::endless("ab01234567890", Framing::Unsaid, false, Body::TooLong)]
-#[case::chunks("ab3\r\nxyz\r\n1;e=f\r\nw\r\n0\r\n\r\n", Framing::Chunked, false, Body::Whole(vec![5..8, 17..18], 25))]
+#[case::chunks("ab3\r\nxyz\r\n1;e\r\nw\r\n0\r\n\r\n", Framing::Chunked, true, Body::Whole(vec![5..8, 15..16], 23))]
 #[case::trailers("ab0\r\nA: b\r\n\r\nmore", Framing::Chunked, false, Body::Whole(vec![], 13))]
 #[case::half_a_chunk("ab3\r\nxy", Framing::Chunked, false, Body::Partial)]
 #[case::no_last_chunk("ab3\r\nxyz\r\n", Framing::Chunked, true, Body::Partial)]
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -1,6 +1,10 @@
 //! What is spoken: HTTP/1.1 with clients, upstreams and discovery.
 
+pub mod accepting;
+pub mod answers;
 pub mod clients;
 pub mod discovery;
+pub mod hands;
 pub mod heads;
+pub mod requests;
 pub mod upstreams;
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -1,95 +1,44 @@
-//! Connections to upstreams: carrying dispatches out, and what comes back.
+//! Connections to upstreams: opened, kept for the next dispatch, ended.
 
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction};
-use httparse::{Response, Status};
-use pinefront::{Ending, Host, Micros};
+use pinefront::{Ending, Micros};
 use slog::{info, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::life::reasons;
-use crate::life::serve::{Hands, Node};
+use crate::life::serve::Node;
 use crate::memory::buffers::{Inbox, Inflow, Outbox};
 use crate::memory::deadlines::Due;
-use crate::memory::desk::{Desk, Errand, Link, Wired};
+use crate::memory::desk::{Desk, Link, Wired};
 use crate::memory::slots::{LinkSlot, TicketSlot, UpstreamSlot};
-use crate::wire::heads::{self, BODY_MOST, Body, CHUNKING_MOST, FIELDS_MOST, Framing, HEAD_MOST};
+use crate::wire::answers::whole_answer;
+use crate::wire::heads::MESSAGE_MOST;
 
 #[cfg(test)]
 mod tests;
 
-/// What an answer may take in the inbox: a head, a body, and a chunked body's framing.
-const KEPT_MOST: usize = HEAD_MOST + BODY_MOST + CHUNKING_MOST;
 /// Part of the idle time that the settings give after which we close first: a ticket written to a connection
 /// that the upstream is closing would end broken.
 const IDLE_PART: f64 = 0.8;
 
-/// Ends that cast doubt on an upstream's other connections: a machine that vanished leaves them all as silent,
+/// Ends that cast doubt on an upstream's other connections: a machine that vanished leaves them all silent,
 /// and back again it resets each under a ticket. A new one tells at once whether it is there.
 const TELLS_OF_OTHERS: [&str; 3] = [reasons::SILENT, reasons::CONNECT_TIMEOUT, reasons::LINK_BROKEN];
 
-impl Host for Hands {
-    fn dispatch(&mut self, ticket: &str, upstream: &str, expire_at: Micros) {
-        self.0.borrow_mut().dispatch(ticket, upstream, expire_at);
-    }
-
-    /// Calling off closes the connection: the upstream sees that nobody waits.
-    fn call_off(&mut self, ticket: &str, dispatch: usize) {
-        let mut desk = self.0.borrow_mut();
-        let ticket = desk.by_id.get(ticket).and_then(|slot| desk.tickets.get(*slot));
-        if let Some(link) = ticket.and_then(|ticket| ticket.dispatches.get(dispatch).copied().flatten()) {
-            desk.counters.dispatches_called_off += 1;
-            let doubtful = desk.long_silent(link);
-            desk.end_link(link, reasons::CALLED_OFF);
-            if let Some(upstream) = doubtful {
-                desk.drop_idle_links(upstream, reasons::STALE);
-            }
-        }
-    }
-
-    fn dismiss(&mut self, ticket: &str, come_back_after: Micros) {
-        let mut desk = self.0.borrow_mut();
-        let Some(slot) = desk.by_id.get(ticket).copied() else { return };
-        let mut fields = Vec::new();
-        if come_back_after > 0 {
-            fields.push(Bytes::from(format!("Retry-After: {:.3}\r\n", come_back_after as f64 / 1e6)));
-        }
-        desk.counters.tickets_dismissed += 1;
-        desk.answer(slot, 503, fields, Vec::new());
-    }
-
-    fn abandon(&mut self, ticket: &str) {
-        let mut desk = self.0.borrow_mut();
-        let Some(slot) = desk.by_id.get(ticket).copied() else { return };
-        desk.counters.tickets_abandoned += 1;
-        desk.answer(slot, 502, Vec::new(), Vec::new());
-    }
-
-    fn wake(&mut self, after: Micros, alarm: u64) {
-        let mut desk = self.0.borrow_mut();
-        let at = desk.now().saturating_add(after);
-        desk.deadlines.hang(at, Due::Alarm(alarm));
-    }
-
-    fn follow_list(&mut self) {
-        let mut desk = self.0.borrow_mut();
-        desk.follow_list();
-    }
-}
-
 /// What a look at a connection to an upstream found.
-enum Look {
+pub enum Look {
     Nothing,
     /// Its end, as the ticket that it carries sees it.
     Over(Ending, &'static str),
     /// A whole answer: the length of its head, where its body lies and where it ends, and whether the
     /// connection can carry another ticket.
-    Answer(usize, Vec<std::ops::Range<usize>>, usize, bool),
+    Answer(usize, Vec<Range<usize>>, usize, bool),
 }
 
 impl Node {
@@ -156,122 +105,11 @@
             self.balancer.dispatch_ended(now, &id, number, false, ending, now.saturating_sub(sent));
         }
     }
-
-    fn take_answer(
-        &mut self,
-        slot: LinkSlot,
-        head: usize,
-        body: &[std::ops::Range<usize>],
-        end: usize,
-        whole: bool,
-    ) {
-        let mut borrowed = self.desk.borrow_mut();
-        let desk = &mut *borrowed;
-        let now = desk.now();
-        let Some(link) = desk.links.get_mut(slot) else { return };
-        let Some(errand) = link.errand.take() else { return };
-        let Some(upstream) = desk.upstreams.get(link.upstream).map(|upstream| Rc::clone(&upstream.id)) else {
-            return;
-        };
-        let message = link.inbox.take(end);
-        let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
-        let mut response = Response::new(&mut fields);
-        // It was parsed a moment ago; if that failed now, it would be taken for a failure.
-        let parsed = response.parse(&message[..head]);
-        let status = response.code.filter(|_| parsed.is_ok()).unwrap_or(0);
-        let turned_away = heads::field(response.headers, "x-turned-away") == Some("1");
-        let ending = match status {
-            200 => Ending::Succeeded,
-            503 | 504 if turned_away => Ending::TurnedAway,
-            _ => Ending::Failed,
-        };
-        let load = match desk.place.loads_told {
-            true => heads::field(response.headers, "x-pressure").map(load),
-            false => None,
-        };
-        link.carried += 1;
-        desk.counters.loads_told += u64::from(load.is_some());
-        match whole && link.outbox.is_empty() && link.inbox.kept().is_empty() {
-            true => desk.shelve(slot),
-            false => desk.end_link(slot, reasons::LINK_LAST),
-        }
-        let mut told = None;
-        if let Some(ticket) = desk.tickets.get_mut(errand.ticket) {
-            if let Some(link) = ticket.dispatches.get_mut(errand.number) {
-                *link = None;
-            }
-            told = ticket.client.is_some().then(|| Rc::clone(&ticket.id));
-            desk.tidy(errand.ticket);
-        }
-        desk.count_ending(ending);
-        let last = ending == Ending::Succeeded;
-        if told.is_some() && last {
-            let own = |name: &str| heads::goes_on(name) && !name.eq_ignore_ascii_case("x-pressure");
-            let lines = heads::lines(&message, response.headers, own);
-            let body = body.iter().map(|range| message.slice(range.clone())).collect();
-            desk.counters.tickets_succeeded += 1;
-            desk.answer(errand.ticket, 200, lines, body);
-        }
-        drop(borrowed);
-        if let Some((busy, queue)) = load {
-            self.balancer.load_reported(now, &upstream, busy, queue);
-        }
-        if let Some(id) = told {
-            let took = now.saturating_sub(errand.sent);
-            self.balancer.dispatch_ended(now, &id, errand.number, last, ending, took);
-        }
-    }
 }
 
 impl Desk {
-    fn dispatch(&mut self, id: &str, upstream: &str, expire_at: Micros) {
-        let now = self.now();
-        let Some(ticket) = self.by_id.get(id).copied() else { return };
-        self.counters.dispatches += 1;
-        let linked = match self.by_name.get(upstream) {
-            _ if expire_at <= now => Err(Ending::NeverSent),
-            Some(&upstream) => self.link_to(upstream),
-            None => Err(Ending::Unreachable),
-        };
-        let Some(open) = self.tickets.get_mut(ticket) else { return };
-        let number = open.dispatches.len();
-        open.dispatches.push(linked.ok());
-        let slot = match linked {
-            Ok(slot) => slot,
-            Err(ending) => {
-                self.deadlines.hang(now, Due::Unsent(ticket, number, ending));
-                return;
-            }
-        };
-        let Some(link) = self.links.get_mut(slot) else { return };
-        let address = self.upstreams.get(link.upstream).and_then(|upstream| upstream.address);
-        open.head.iter().for_each(|slice| link.outbox.push(slice.clone()));
-        let length: usize = open.body.iter().map(Bytes::len).sum();
-        let mut added = format!("X-Remaining-Ms: {}\r\n", (expire_at - now).div_ceil(1000));
-        if let Some(address) = address.filter(|_| !open.has_host) {
-            added += &format!("Host: {address}\r\n");
-        }
-        if length > 0 || open.has_body {
-            added += &format!("Content-Length: {length}\r\n");
-        }
-        link.outbox.push(Bytes::from(added + "\r\n"));
-        open.body.iter().for_each(|slice| link.outbox.push(slice.clone()));
-        let connect_by = now + self.place.connect_timeout;
-        link.errand = Some(Errand { ticket, number, sent: now, expire_at });
-        if !link.connected {
-            self.link_waits(slot, connect_by.min(expire_at));
-            return;
-        }
-        self.counters.links_reused += 1;
-        // What fails here is looked at on a later turn: we are inside a call of the module.
-        if link.outbox.drain(&link.wired.stream).is_err() {
-            self.deadlines.hang(now, Due::LinkTurn(slot));
-        }
-        self.link_waits(slot, expire_at);
-    }
-
     /// The connection to an upstream that was used last, or a new one.
-    fn link_to(&mut self, upstream: UpstreamSlot) -> Result<LinkSlot, Ending> {
+    pub fn link_to(&mut self, upstream: UpstreamSlot) -> Result<LinkSlot, Ending> {
         while let Some(slot) = self.upstreams.get_mut(upstream).and_then(|upstream| upstream.idle.pop()) {
             let Some(link) = self.links.get(slot) else { continue };
             match link.wired.stream.peek(&mut [0]) {
@@ -340,7 +178,7 @@
             }
         }
         let written = link.outbox.drain(&link.wired.stream);
-        let inflow = link.inbox.fill(&link.wired.stream, KEPT_MOST);
+        let inflow = link.inbox.fill(&link.wired.stream, MESSAGE_MOST);
         if link.errand.is_none() {
             return match inflow {
                 Inflow::Dry if link.inbox.kept().is_empty() => Look::Nothing,
@@ -360,14 +198,14 @@
         }
     }
 
-    fn link_waits(&mut self, slot: LinkSlot, until: Micros) {
+    pub fn link_waits(&mut self, slot: LinkSlot, until: Micros) {
         if let Some(link) = self.links.get_mut(slot) {
             self.deadlines.move_to(&mut link.due, until, Due::Link(slot));
         }
     }
 
     /// Keeps a connection for the next ticket.
-    fn shelve(&mut self, slot: LinkSlot) {
+    pub fn shelve(&mut self, slot: LinkSlot) {
         let until = self.now() + (self.place.idle as f64 * IDLE_PART) as Micros;
         let Some(link) = self.links.get(slot) else { return };
         match self.upstreams.get_mut(link.upstream) {
@@ -380,7 +218,7 @@
     }
 
     /// The upstream of a connection on which nothing came for as long as a new one may take to come about.
-    fn long_silent(&self, slot: LinkSlot) -> Option<UpstreamSlot> {
+    pub fn long_silent(&self, slot: LinkSlot) -> Option<UpstreamSlot> {
         let link = self.links.get(slot)?;
         let waited = self.now().saturating_sub(link.errand.as_ref()?.sent);
         (waited > self.place.connect_timeout && link.inbox.kept().is_empty()).then_some(link.upstream)
@@ -414,11 +252,12 @@
         self.counters.links_ended += 1;
         if let Some(upstream) = self.upstreams.get_mut(link.upstream) {
             upstream.idle.retain(|idle| *idle != slot);
-            info!(self.log, "link ended"; "reason" => reason, "upstream" => &*upstream.id, "carried" => link.carried);
+            info!(self.log, "link ended"; "reason" => reason, "upstream" => &*upstream.id,
+                "carried" => link.carried);
         }
     }
 
-    fn count_ending(&mut self, ending: Ending) {
+    pub fn count_ending(&mut self, ending: Ending) {
         let counters = &mut self.counters;
         *match ending {
             Ending::Succeeded => &mut counters.dispatches_succeeded,
@@ -453,58 +292,3 @@
     }
     Ok(socket.into())
 }
-
-/// The whole answer at the front of an inbox; `Nothing` while part is missing, none for nonsense.
-fn whole_answer(inbox: &mut Inbox, ended: bool) -> Option<Look> {
-    loop {
-        let kept = inbox.kept();
-        let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
-        let mut response = Response::new(&mut fields);
-        let head = match response.parse(kept).ok()? {
-            Status::Complete(head) if head <= HEAD_MOST => head,
-            Status::Partial if kept.len() < HEAD_MOST => return Some(Look::Nothing),
-            Status::Complete(_) | Status::Partial => return None,
-        };
-        match response.code? {
-            101 => return None,
-            // Word of an answer to come.
-            100..=199 => {
-                inbox.take(head);
-                continue;
-            }
-            _ => {}
-        }
-        let framing = match response.code? {
-            204 | 304 => Framing::Length(0),
-            _ => heads::framing(response.headers).ok()?,
-        };
-        let lasts = response.version == Some(1)
-            && framing != Framing::Unsaid
-            && !heads::lists(response.headers, "connection", "close");
-        return match heads::body(kept, head, framing, ended, BODY_MOST) {
-            // Nothing tells a body that ended from one that was cut short.
-            Body::Whole(..) if framing == Framing::Unsaid && response.code == Some(200) => {
-                Some(Look::Nothing)
-            }
-            Body::Whole(ranges, end) => Some(Look::Answer(head, ranges, end, lasts)),
-            Body::Partial if kept.len() < KEPT_MOST => Some(Look::Nothing),
-            Body::Partial | Body::TooLong | Body::Nonsense => None,
-        };
-    }
-}
-
-/// What an upstream tells of its load: how busy it is, and its queue or else what it holds.
-fn load(text: &str) -> (Option<f64>, Option<f64>) {
-    let (mut busy, mut queue, mut held) = (None, None, None);
-    for part in text.strip_prefix("TEXT").unwrap_or(text).split(',') {
-        let Some((name, value)) = part.split_once('=') else { continue };
-        let value = value.trim().parse().ok().filter(|value: &f64| value.is_finite());
-        match name.trim() {
-            "util" | "busy" => busy = value,
-            "queue" | "q" => queue = value,
-            "inflight" | "rif" => held = value,
-            _ => {}
-        }
-    }
-    (busy, queue.or(held))
-}
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -1,8 +1,11 @@
 use std::net::TcpListener;
 
+use pinefront::Host;
 use rstest::rstest;
 
 use super::*;
+use crate::life::serve::Hands;
+use crate::memory::buffers::Outbox;
 use crate::stand::{Stand, entry, listener, say};
 
 const LONG: Micros = 60_000_000;
@@ -279,13 +282,3 @@
     stand.heard(&fresh, "body");
     stand.until(|node| (node.desk.borrow().counters.dispatches_never_sent == 1).then_some(()));
 }
-
-#[rstest]
-#[case("TEXT inflight=7, queue=2, util=0.61", (Some(0.61), Some(2.0)))]
-#[case("busy=0.5,q=1", (Some(0.5), Some(1.0)))]
-#[case("TEXT inflight=7", (None, Some(7.0)))]
-#[case("TEXT util=NaN, queue=inf", (None, None))]
-#[case("nonsense", (None, None))]
-fn loads_are_read_as_far_as_they_can_be(#[case] text: &str, #[case] expected: (Option<f64>, Option<f64>)) {
-    assert_eq!(load(text), expected);
-}
