A full house closed an idle client for nobody; room is made by whoever waits longest

Seen in a test of resting: accepting.rs accept made room before it knew whether anybody was waiting, so the last one taken in was closed at once, and at the limit every call cost an idle client. Now it asks the listener first when full. Room was made by clients between tickets before silent or trickling ones, which a flood of those would have used: now by the longest wait, and what opened or began within a second goes last.

--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -38,6 +38,8 @@
     pub ending: Option<&'static str>,
     /// Our sending is over; what still comes is read away, or it would break the answer's last bytes.
     pub lingers: bool,
+    /// Since when we wait for what its deadline is about.
+    pub since: Micros,
     /// Was told to go on with the body of the request under way.
     pub continued: bool,
     pub due: Option<deadlines::Place>,
--- a/node/src/wire/accepting.rs
+++ b/node/src/wire/accepting.rs
@@ -1,12 +1,13 @@
 //! The listener: taking clients in, and making room for them.
 
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction};
 use pinefront::Micros;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use slog::warn;
 
 use crate::life::reasons;
@@ -16,10 +17,15 @@
 use crate::memory::desk::{Client, Desk, Wired};
 use crate::wire::clients::IDLE_MOST;
 
+#[cfg(test)]
+mod tests;
+
 /// How long accepting rests when no descriptor can be had.
 const ACCEPT_REST: Micros = 10_000;
 /// Connections taken at once: those already served must not wait for a storm of new ones.
 const ACCEPT_AT_ONCE: usize = 64;
+/// How long a client may take to go on with what it began before it is taken for one that keeps us waiting.
+const ABOUT_TO_SEND: Micros = 1_000_000;
 
 impl Node {
     /// Takes in what the listener has; true where more may be waiting.
@@ -29,9 +35,15 @@
             let Some(listener) = desk.listener.as_ref().map(|(listener, _)| Rc::clone(listener)) else {
                 return false;
             };
-            if desk.clients.len() >= desk.place.clients_most && !desk.make_room() {
-                desk.rest_accepting();
-                return false;
+            if desk.clients.len() >= desk.place.clients_most {
+                // Nobody has to go for one that is not there.
+                if !one_waits(&listener) {
+                    return false;
+                }
+                if !desk.make_room() {
+                    desk.rest_accepting();
+                    return false;
+                }
             }
             match listener.accept() {
                 Ok((stream, peer)) => desk.welcome(stream, peer),
@@ -77,6 +89,7 @@
                     lingers: false,
                     continued: false,
                     due: None,
+                    since: 0,
                 })
             })
         });
@@ -93,13 +106,16 @@
         }
     }
 
-    /// Closes a client's connection that waits for nothing of ours, or an idle one upstream: first those
-    /// that stood between tickets for longest, then fresh ones, then those with part of a request.
+    /// Closes the client's connection that has kept us waiting for longest, between tickets or with part of a
+    /// request, or else an idle one to an upstream.
     pub fn make_room(&mut self) -> bool {
         let waits = |client: &&Client| client.ticket.is_none() && client.outbox.is_empty();
         // What lies unread in the socket may be a whole request, and then it is taken.
         let unread = |client: &Client| client.wired.stream.peek(&mut [0]).is_ok_and(|count| count > 0);
-        let last = |client: &Client| (!client.inbox.kept().is_empty(), client.answered == 0, client.due);
+        let now = self.clock.now();
+        // Whoever opened a connection or began a request just now is about to go on with it.
+        let begun = |client: &Client| client.answered == 0 || !client.inbox.kept().is_empty();
+        let last = |client: &Client| (begun(client) && now < client.since + ABOUT_TO_SEND, client.since);
         let mut waiting: Vec<_> = self.clients.iter().filter(|(_, client)| waits(client)).collect();
         waiting.sort_by_key(|(_, client)| last(client));
         match waiting.into_iter().find(|(_, client)| !unread(client)).map(|(slot, _)| slot) {
@@ -132,3 +148,10 @@
         }
     }
 }
+
+/// Whether a connection waits to be accepted.
+fn one_waits(listener: &TcpListener) -> bool {
+    let mut fds = [PollFd::new(listener, PollFlags::IN)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut fds, Some(&at_once)).is_ok_and(|ready| ready > 0)
+}
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -125,9 +125,10 @@
     }
 
     pub fn client_waits(&mut self, slot: ClientSlot, how_long: Micros) {
-        let at = self.clock.now() + how_long;
+        let now = self.clock.now();
         if let Some(client) = self.clients.get_mut(slot) {
-            self.deadlines.move_to(&mut client.due, at, Due::Client(slot));
+            client.since = now;
+            self.deadlines.move_to(&mut client.due, now + how_long, Due::Client(slot));
         }
     }
 
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -159,32 +159,6 @@
     assert!(stand.heard(&client, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
 }
 
-#[test]
-fn room_is_made_by_those_between_tickets_but_not_by_unread_requests() {
-    let mut stand = Stand::new();
-    let ((fresh, _), (served, kept)) = (stand.client(), stand.client());
-    stand.node.desk.borrow_mut().clients[kept].answered = 1;
-    assert!(stand.node.desk.borrow_mut().make_room());
-    stand.ends(&served);
-    say(&fresh, "P");
-    let unread =
-        |node: &Node| node.desk.borrow().clients.values().all(|c| c.wired.stream.peek(&mut [0]).is_ok());
-    while !unread(&stand.node) {}
-    assert!(!stand.node.desk.borrow_mut().make_room());
-}
-
-#[test]
-fn a_full_house_takes_a_new_client_for_an_idle_one() {
-    let mut stand = Stand::new();
-    stand.node.desk.borrow_mut().place.clients_most = 2;
-    let (first, _) = stand.client();
-    let (_second, _) = stand.client();
-    let (third, _) = stand.client();
-    stand.ends(&first);
-    say(&third, "GET /health/live HTTP/1.1\r\n\r\n");
-    assert!(stand.heard(&third, "live\n").starts_with("HTTP/1.1 200 "));
-}
-
 #[test]
 fn ready_waits_for_a_list() {
     let mut stand = Stand::new();
