--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -94,6 +94,7 @@
         deadlines: Deadlines::default(),
         counters: Counters::default(),
         stopping: false,
+        shortage_told: 0,
         turn: Turn::default(),
     }));
     let balancer = Balancer::start(Hands(Rc::clone(&desk)), seed, terms, now);
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -30,6 +30,7 @@
     links_opened,
     links_reused,
     links_ended,
+    links_refused,
     dispatches,
     dispatches_succeeded,
     dispatches_failed,
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -104,6 +104,8 @@
     pub counters: Counters,
     /// Told to stop: not ready, and connections close between tickets.
     pub stopping: bool,
+    /// When the log was last told that no descriptor is left for an upstream.
+    pub shortage_told: Micros,
     pub turn: Turn,
 }
 
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -27,6 +27,9 @@
 /// that the upstream is closing would end broken.
 const IDLE_PART: f64 = 0.8;
 
+/// How often the log tells of a want of descriptors.
+const SHORTAGE_TOLD_APART: Micros = 1_000_000;
+
 /// Ends that cast doubt on an upstream's other connections: a machine that vanished leaves them all silent,
 /// and back again it resets each under a ticket. A new one tells at once whether it is there.
 const TELLS_OF_OTHERS: [&str; 3] = [reasons::SILENT, reasons::CONNECT_TIMEOUT, reasons::LINK_BROKEN];
@@ -119,7 +122,7 @@
             }
         }
         if self.links.len() >= self.place.links_most && !self.drop_idle_link() {
-            warn!(self.log, "no descriptor left for an upstream"; "links" => self.links.len());
+            self.tell_shortage();
             return Err(Ending::NeverSent);
         }
         let address = self.upstreams.get(upstream).and_then(|upstream| upstream.address);
@@ -217,6 +220,16 @@
         }
     }
 
+    /// Says that no descriptor is left, but not for every ticket: the log would hold nothing else.
+    fn tell_shortage(&mut self) {
+        let now = self.now();
+        self.counters.links_refused += 1;
+        if now >= self.shortage_told + SHORTAGE_TOLD_APART {
+            self.shortage_told = now;
+            warn!(self.log, "no descriptor left for an upstream"; "links" => self.links.len());
+        }
+    }
+
     /// The upstream of a connection on which nothing came for as long as a new one may take to come about.
     pub fn long_silent(&self, slot: LinkSlot) -> Option<UpstreamSlot> {
         let link = self.links.get(slot)?;
