--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -175,11 +175,13 @@
     assert!(stand.heard(&client, "ready\n").starts_with("HTTP/1.1 200 "));
 }
 
-#[test]
-fn a_client_that_wants_no_more_is_closed_after_its_answer() {
+#[rstest]
+#[case::said("1.1\r\nConnection: Close")]
+#[case::of_old("1.0")]
+fn a_client_that_wants_no_more_is_closed_after_its_answer(#[case] version: &str) {
     let mut stand = Stand::new();
     let (client, _) = stand.client();
-    say(&client, "GET /stats HTTP/1.1\r\nConnection: close\r\n\r\n");
+    say(&client, &format!("GET /stats HTTP/{version}\r\n\r\n"));
     let heard = stand.heard(&client, "latest_turn_us 0\n");
     assert!(
         heard.contains("\r\nConnection: close\r\n") && heard.contains("\nclients_accepted 1\n"),
--- a/node/src/wire/requests.rs
+++ b/node/src/wire/requests.rs
@@ -58,8 +58,8 @@
             return desk.turn_off(slot, 400, reasons::MALFORMED);
         };
         let fields = &*request.headers;
-        client.last = heads::lists(fields, "connection", "close")
-            || (request.version == Some(0) && !heads::lists(fields, "connection", "keep-alive"));
+        // HTTP/1.0 has no connection that lasts unless both sides say so, and we do not.
+        client.last = heads::lists(fields, "connection", "close") || request.version == Some(0);
         let path = path(target);
         if desk.own_page(slot, method, path) {
             return;
