--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -44,7 +44,7 @@
                     self.balancer.alarm_rang(now, alarm);
                 }
                 Due::Client(slot) => self.client_due(slot),
-                Due::NextRequest(slot) => self.client_ready(slot),
+                Due::NextMessage(slot) => self.client_ready(slot),
                 Due::Link(slot) => self.link_due(slot),
                 Due::LinkTurn(slot) => self.link_ready(slot),
                 Due::Unsent(ticket, number, ending) => self.dispatch_over(ticket, number, ending, now),
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -15,7 +15,7 @@
 /// How long new connections are taken after the signal: they go on coming until the front has noticed.
 const ACCEPT_ON: Micros = 500_000;
 /// How long a connection taken last may keep its request back: who opens one has something to send.
-const FIRST_REQUEST: Micros = 100_000;
+const FIRST_MESSAGE: Micros = 100_000;
 /// How often we look whether all is answered.
 const LOOK_EVERY: Micros = 20_000;
 /// When we end whatever is left: no ticket may wait that long.
@@ -59,10 +59,10 @@
         let slots: Vec<_> = self.desk.borrow().clients.keys().collect();
         slots.into_iter().for_each(|slot| self.client_ready(slot));
         let mut desk = self.desk.borrow_mut();
-        desk.close_idle_clients(since >= ACCEPT_ON + FIRST_REQUEST);
+        desk.close_idle_clients(since >= ACCEPT_ON + FIRST_MESSAGE);
         let waiting =
             desk.clients.values().any(|client| client.ticket.is_some() || !client.outbox.is_empty());
-        let done = since >= ACCEPT_ON + FIRST_REQUEST && !waiting;
+        let done = since >= ACCEPT_ON + FIRST_MESSAGE && !waiting;
         if done || since >= GIVE_UP {
             info!(desk.log, "stopped"; "unanswered" => desk.tickets.len());
             self.over = true;
--- a/node/src/life/stop/tests.rs
+++ b/node/src/life/stop/tests.rs
@@ -1,7 +1,7 @@
 use rstest::rstest;
 
 use super::*;
-use crate::stand::{Stand, request, say};
+use crate::stand::{Stand, message, say};
 
 #[test]
 fn a_stop_answers_what_was_taken_and_closes_what_is_idle() {
@@ -10,7 +10,7 @@
     let (busy, _) = stand.client();
     let (idle, slot) = stand.client();
     stand.node.desk.borrow_mut().clients[slot].answered = 1;
-    say(&busy, &request("t1", "body"));
+    say(&busy, &message("t1", "body"));
     let link = stand.accepted(&upstream);
     stand.heard(&link, "body");
     stand.node.signalled(Signal::SIGTERM);
@@ -29,7 +29,7 @@
 #[rstest]
 #[case::accepting(0, true, false)]
 #[case::no_longer(ACCEPT_ON, false, false)]
-#[case::done(ACCEPT_ON + FIRST_REQUEST, false, true)]
+#[case::done(ACCEPT_ON + FIRST_MESSAGE, false, true)]
 fn a_stop_goes_on_accepting_for_a_while(#[case] since: Micros, #[case] listens: bool, #[case] over: bool) {
     let mut stand = Stand::new();
     let began = stand.node.desk.borrow().now() - since;
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -30,7 +30,7 @@
     links_opened,
     links_reused,
     links_ended,
-    links_refused,
+    links_short,
     dispatches,
     dispatches_succeeded,
     dispatches_failed,
--- a/node/src/memory/deadlines.rs
+++ b/node/src/memory/deadlines.rs
@@ -17,7 +17,7 @@
     /// A client's connection: what for follows from its state.
     Client(ClientSlot),
     /// A client's next request may already lie in its inbox.
-    NextRequest(ClientSlot),
+    NextMessage(ClientSlot),
     /// A connection to an upstream, likewise.
     Link(LinkSlot),
     /// A connection to an upstream may have failed as it was written to.
--- a/node/src/stand.rs
+++ b/node/src/stand.rs
@@ -43,7 +43,7 @@
 }
 
 /// A whole request for the labelled use case.
-pub fn request(id: &str, body: &str) -> String {
+pub fn message(id: &str, body: &str) -> String {
     format!(
         "POST /pay/1?x=2 HTTP/1.1\r\nHost: app\r\nX-Txn: {id}\r\nX-Lane: pay\r\nX-Org: acme\r\n\
          X-Remaining-Ms: 900\r\nIdempotency-Key: k\r\nContent-Length: {}\r\n\r\n{body}",
@@ -144,12 +144,12 @@
     /// A ticket whose client waits, unknown to the module, and its first dispatch.
     pub fn dispatched(&mut self, id: &str, upstream: &str, wait: Micros) -> (TcpStream, TicketSlot) {
         let (stream, slot) = self.client();
-        let message = bytes::Bytes::from(request(id, "body"));
+        let text = bytes::Bytes::from(message(id, "body"));
         let mut fields = [httparse::EMPTY_HEADER; 16];
         let mut head = httparse::Request::new(&mut fields);
-        let length = head.parse(&message).unwrap().unwrap();
-        let body = std::iter::once(length..message.len()).collect::<Vec<_>>();
-        self.node.desk.borrow_mut().open(slot, id, &message, &head, &body);
+        let length = head.parse(&text).unwrap().unwrap();
+        let body = std::iter::once(length..text.len()).collect::<Vec<_>>();
+        self.node.desk.borrow_mut().open(slot, id, &text, &head, &body);
         let ticket = self.node.desk.borrow().by_id[id];
         self.again(id, upstream, wait);
         (stream, ticket)
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -99,7 +99,7 @@
             return match inflow {
                 Inflow::Dry => Look::Nothing,
                 Inflow::Full => {
-                    self.deadlines.hang(self.clock.now(), Due::NextRequest(slot));
+                    self.deadlines.hang(self.clock.now(), Due::NextMessage(slot));
                     Look::Nothing
                 }
                 Inflow::Ended | Inflow::Broken => Look::Gone(client_reason(client)),
@@ -187,12 +187,12 @@
             self.client_waits(slot, LINGER);
         } else if !client.inbox.kept().is_empty() {
             // The next request lies here already: on a later turn, as we may be inside a call of the module.
-            self.deadlines.hang(self.clock.now(), Due::NextRequest(slot));
+            self.deadlines.hang(self.clock.now(), Due::NextMessage(slot));
         }
     }
 
     /// Answers what is not a ticket.
-    pub fn refuse(&mut self, slot: ClientSlot, status: u16) {
+    pub fn reject(&mut self, slot: ClientSlot, status: u16) {
         self.counters.malformed += 1;
         let allow = |method| vec![Bytes::from_static(b"Allow: "), method, Bytes::from_static(b"\r\n")];
         let fields = match status {
@@ -207,7 +207,7 @@
         if let Some(client) = self.clients.get_mut(slot) {
             client.ending = Some(reason);
         }
-        self.refuse(slot, status);
+        self.reject(slot, status);
     }
 
     /// Closes connections that stand between tickets, once what they sent has been looked at.
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -1,14 +1,14 @@
 use rstest::rstest;
 
 use super::*;
-use crate::stand::{Stand, request, say};
+use crate::stand::{Stand, message, say};
 
 #[test]
 fn a_ticket_that_comes_in_pieces_goes_out_unchanged_and_is_answered() {
     let mut stand = Stand::new();
     let upstream = stand.upstreams();
     let (client, _) = stand.client();
-    let text = request("t1", "some body");
+    let text = message("t1", "some body");
     for piece in [&text[..30], &text[30..text.len() - 4], &text[text.len() - 4..]] {
         say(&client, piece);
         stand.event_loop.dispatch(Some(std::time::Duration::ZERO), &mut stand.node).unwrap();
@@ -37,7 +37,7 @@
     let mut stand = Stand::new();
     let upstream = stand.upstreams();
     let (client, _) = stand.client();
-    say(&client, &(request("t1", "one") + &request("t2", "two")));
+    say(&client, &(message("t1", "one") + &message("t2", "two")));
     for (body, answer) in [("one", "eins"), ("two", "zwei")] {
         let link = stand.accepted(&upstream);
         stand.heard(&link, body);
@@ -51,10 +51,10 @@
     let mut stand = Stand::new();
     let upstream = stand.upstreams();
     let (first, _) = stand.client();
-    say(&first, &request("t1", "body"));
+    say(&first, &message("t1", "body"));
     let link = stand.accepted(&upstream);
     let (second, _) = stand.client();
-    say(&second, &request("t1", "body"));
+    say(&second, &message("t1", "body"));
     assert!(stand.heard(&second, "\r\n\r\n").starts_with("HTTP/1.1 409 "));
     stand.heard(&link, "body");
     say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
@@ -89,7 +89,7 @@
 fn a_body_far_too_long_is_read_away_so_that_its_answer_arrives() {
     let mut stand = Stand::new();
     let (client, _) = stand.client();
-    say(&client, &request("t1", "").replace("Length: 0", "Length: 4000000"));
+    say(&client, &message("t1", "").replace("Length: 0", "Length: 4000000"));
     let mut sender = client.try_clone().unwrap();
     let (part, mut sent) = (vec![b'x'; 100_000], 0);
     stand.until(|_| {
@@ -105,7 +105,7 @@
     let mut stand = Stand::new();
     let upstream = stand.upstreams();
     let (client, _) = stand.client();
-    say(&client, &request("t1", "body"));
+    say(&client, &message("t1", "body"));
     let link = stand.accepted(&upstream);
     drop(client);
     stand.ends(&link);
@@ -117,7 +117,7 @@
 fn where_nobody_serves_a_ticket_is_dismissed_by_the_module() {
     let mut stand = Stand::new();
     let (client, _) = stand.client();
-    say(&client, &request("t1", "body").replace("900", "1"));
+    say(&client, &message("t1", "body").replace("900", "1"));
     assert!(stand.heard(&client, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
     assert_eq!(stand.node.desk.borrow().counters.tickets_dismissed, 1);
 }
@@ -153,7 +153,7 @@
 fn a_sender_that_waits_for_word_is_told_to_go_on_once() {
     let mut stand = Stand::new();
     let (client, _) = stand.client();
-    say(&client, &request("t1", "").replace("Length: 0", "Length: 4\r\nExpect: 100-continue"));
+    say(&client, &message("t1", "").replace("Length: 0", "Length: 4\r\nExpect: 100-continue"));
     assert_eq!(stand.heard(&client, "\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
     say(&client, "body");
     assert!(stand.heard(&client, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -280,8 +280,8 @@
         (self.roster.asked, self.roster.overdue) = (now, now + wait + OVERDUE);
         let connected = self.roster.wired.is_some();
         self.ask_at(if connected { self.roster.overdue } else { now + CONNECT_WITHIN });
-        let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        self.roster.outbox.push(Bytes::from(request));
+        let call = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        self.roster.outbox.push(Bytes::from(call));
         match &self.roster.wired {
             // What fails here is read from the connection, on a later turn.
             Some(wired) => _ = self.roster.outbox.drain(&wired.stream),
@@ -354,7 +354,7 @@
         _ => return Err(reasons::NONSENSE),
     };
     if response.code != Some(200) {
-        return Err(reasons::DISCOVERY_REFUSED);
+        return Err(reasons::DISCOVERY_ERROR);
     }
     let framing = heads::framing(response.headers).map_err(|_| reasons::NONSENSE)?;
     let lasts = response.version == Some(1)
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -6,5 +6,5 @@
 pub mod discovery;
 pub mod hands;
 pub mod heads;
-pub mod requests;
+pub mod tickets;
 pub mod upstreams;
--- a/node/src/wire/requests.rs
+++ b/node/src/wire/tickets.rs
@@ -32,7 +32,7 @@
         let mut borrowed = self.desk.borrow_mut();
         let desk = &mut *borrowed;
         let Some(client) = desk.clients.get_mut(slot) else { return };
-        let (head, body, end) = match whole_request(client.inbox.kept()) {
+        let (head, body, end) = match whole_message(client.inbox.kept()) {
             Ok(Some(found)) => found,
             Ok(None) => {
                 if !client.continued && expects_word(client.inbox.kept()) {
@@ -50,38 +50,37 @@
         let message = client.inbox.take(end);
         client.continued = false;
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
-        let mut request = Request::new(&mut fields);
-        let (Ok(_), Some(method), Some(target)) =
-            (request.parse(&message[..head]), request.method, request.path)
+        let mut asked = Request::new(&mut fields);
+        let (Ok(_), Some(method), Some(target)) = (asked.parse(&message[..head]), asked.method, asked.path)
         else {
             // Cannot be: it was parsed a moment ago.
             return desk.turn_off(slot, 400, reasons::MALFORMED);
         };
-        let fields = &*request.headers;
+        let fields = &*asked.headers;
         // HTTP/1.0 has no connection that lasts unless both sides say so, and we do not.
-        client.last = heads::lists(fields, "connection", "close") || request.version == Some(0);
+        client.last = heads::lists(fields, "connection", "close") || asked.version == Some(0);
         let path = path(target);
         if desk.own_page(slot, method, path) {
             return;
         }
         let Some(use_case) = use_case(&desk.place, fields, path) else {
-            return desk.refuse(slot, 404);
+            return desk.reject(slot, 404);
         };
         let wanted = if desk.place.effects[use_case] == Effect::Redoable { "GET" } else { "POST" };
         if method != wanted {
-            return desk.refuse(slot, 405);
+            return desk.reject(slot, 405);
         }
         let labelled = matches!(desk.place.effects[use_case], Effect::Labelled { .. });
         let (id, wait) = (ticket_id(fields), remaining(fields));
         let (Some(id), Some(wait)) = (id, wait) else {
-            return desk.refuse(slot, 400);
+            return desk.reject(slot, 400);
         };
         if labelled && heads::field(fields, "idempotency-key").is_none_or(str::is_empty) {
-            return desk.refuse(slot, 400);
+            return desk.reject(slot, 400);
         }
         if desk.by_id.contains_key(id) {
             // A second ticket under one id would push out the first, which then had no answer.
-            return desk.refuse(slot, 409);
+            return desk.reject(slot, 409);
         }
         let now = desk.now();
         let spent = WAY_BACK.min(wait / WAY_BACK_PART) + desk.turn.late(now);
@@ -90,7 +89,7 @@
             heads::field(fields, "x-org").map_or(desk.place.accounts.len(), |name| desk.place.account(name));
         let key = heads::field(fields, "x-entity").map(key_number);
         let hint = heads::field(fields, "x-estimate").and_then(|hint| hint.parse().ok());
-        let ticket = desk.open(slot, id, &message, &request, &body);
+        let ticket = desk.open(slot, id, &message, &asked, &body);
         drop(borrowed);
         self.balancer.ticket_arrived(now, &ticket, use_case, account, key, hard_stop, hint);
     }
@@ -102,13 +101,13 @@
         slot: ClientSlot,
         id: &str,
         message: &Bytes,
-        request: &Request,
+        asked: &Request,
         body: &[Range<usize>],
     ) -> Rc<str> {
         let part = |text: Option<&str>| message.slice(heads::place(message, text.unwrap_or("").as_bytes()));
         let (space, version) = (Bytes::from_static(b" "), Bytes::from_static(b" HTTP/1.1\r\n"));
-        let mut head = vec![part(request.method), space, part(request.path), version];
-        head.extend(heads::lines(message, request.headers, |name| {
+        let mut head = vec![part(asked.method), space, part(asked.path), version];
+        head.extend(heads::lines(message, asked.headers, |name| {
             heads::goes_on(name) && !name.eq_ignore_ascii_case("x-remaining-ms")
         }));
         let body = body.iter().map(|range| message.slice(range.clone())).collect();
@@ -118,8 +117,8 @@
             client: Some(slot),
             head,
             body,
-            has_host: heads::field(request.headers, "host").is_some(),
-            has_body: request.method != Some("GET"),
+            has_host: heads::field(asked.headers, "host").is_some(),
+            has_body: asked.method != Some("GET"),
             dispatches: Vec::new(),
         };
         let ticket = self.tickets.insert(ticket);
@@ -145,7 +144,7 @@
         };
         match method {
             "GET" => self.write_answer(slot, status, Vec::new(), vec![Bytes::from(text)]),
-            _ => self.refuse(slot, 405),
+            _ => self.reject(slot, 405),
         }
         true
     }
@@ -154,24 +153,24 @@
 /// Whether a whole head asks for word before its sender goes on with the body.
 fn expects_word(kept: &[u8]) -> bool {
     let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
-    let mut request = Request::new(&mut fields);
-    let whole = request.parse(kept).is_ok_and(|status| status.is_complete());
-    whole && heads::lists(request.headers, "expect", "100-continue")
+    let mut asked = Request::new(&mut fields);
+    let whole = asked.parse(kept).is_ok_and(|status| status.is_complete());
+    whole && heads::lists(asked.headers, "expect", "100-continue")
 }
 
 type Found = (usize, Vec<Range<usize>>, usize);
 
 /// The length of the head, where the body lies and where the message ends; nothing while part is missing.
-fn whole_request(kept: &[u8]) -> Result<Option<Found>, (u16, &'static str)> {
+fn whole_message(kept: &[u8]) -> Result<Option<Found>, (u16, &'static str)> {
     let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
-    let mut request = Request::new(&mut fields);
-    let head = match request.parse(kept) {
+    let mut asked = Request::new(&mut fields);
+    let head = match asked.parse(kept) {
         Ok(Status::Complete(head)) if head <= HEAD_MOST => head,
         Ok(Status::Partial) if kept.len() < HEAD_MOST => return Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err((431, reasons::HEAD_TOO_LARGE)),
         Err(_) => return Err((400, reasons::MALFORMED)),
     };
-    let framing = match heads::framing(request.headers) {
+    let framing = match heads::framing(asked.headers) {
         Ok(Framing::Unsaid) => Framing::Length(0),
         Ok(framing) => framing,
         Err(Conflicting) => return Err((400, reasons::MALFORMED)),
--- a/node/src/wire/requests/tests.rs
+++ b/node/src/wire/tickets/tests.rs
@@ -1,11 +1,11 @@
 use rstest::rstest;
 
 use super::*;
-use crate::stand::{Stand, request, say};
+use crate::stand::{Stand, message, say};
 
 /// A request with one line put in place of another.
 fn with(line: &str, other: &str) -> String {
-    request("t1", "body").replace(line, other)
+    message("t1", "body").replace(line, other)
 }
 
 #[rstest]
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -223,7 +223,7 @@
     /// Says that no descriptor is left, but not for every ticket: the log would hold nothing else.
     fn tell_shortage(&mut self) {
         let now = self.now();
-        self.counters.links_refused += 1;
+        self.counters.links_short += 1;
         if now >= self.shortage_told + SHORTAGE_TOLD_APART {
             self.shortage_told = now;
             warn!(self.log, "no descriptor left for an upstream"; "links" => self.links.len());
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -284,5 +284,5 @@
     let told = stand.node.desk.borrow().shortage_told;
     stand.again("t2", "s1", LONG);
     let desk = stand.node.desk.borrow();
-    assert_eq!((desk.counters.links_refused, desk.shortage_told), (2, told));
+    assert_eq!((desk.counters.links_short, desk.shortage_told), (2, told));
 }
