--- a/node/src/life/log.rs
+++ b/node/src/life/log.rs
@@ -39,9 +39,10 @@
         kept.lines.extend_from_slice(line.as_bytes());
     }
 
-    /// Writes what the pipe takes and tells how many lines were dropped since it was last asked.
-    pub fn flush(&self) -> u64 {
-        let Ok(mut kept) = self.0.lock() else { return 0 };
+    /// Writes what the pipe takes. Tells how many lines were dropped since it was last asked, and whether there
+    /// is room again.
+    pub fn flush(&self) -> (u64, bool) {
+        let Ok(mut kept) = self.0.lock() else { return (0, false) };
         let mut out = std::io::stderr();
         while !kept.lines.is_empty() && takes_more() {
             let part = kept.lines.len().min(WRITE_AT_ONCE);
@@ -51,10 +52,7 @@
                 Err(_) => break,
             }
         }
-        match kept.lines.is_empty() {
-            true => std::mem::take(&mut kept.dropped),
-            false => 0,
-        }
+        (std::mem::take(&mut kept.dropped), kept.lines.is_empty())
     }
 }
 
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -58,6 +58,7 @@
 
 /// Serves until told to stop and done.
 pub fn serve(event_loop: &mut EventLoop<'static, Node>, node: &mut Node, pipe: &Pipe) -> Result<(), String> {
+    let mut untold = 0;
     while !node.over {
         let wait = {
             let mut desk = node.desk.borrow_mut();
@@ -74,10 +75,12 @@
         let mut desk = node.desk.borrow_mut();
         let took = desk.now().saturating_sub(began);
         desk.counters.latest_turn_us = desk.counters.latest_turn_us.max(took);
-        let dropped = pipe.flush();
-        if dropped > 0 {
-            desk.counters.log_lines_dropped += dropped;
-            warn!(desk.log, "log lines dropped"; "count" => dropped);
+        let (dropped, room) = pipe.flush();
+        desk.counters.log_lines_dropped += dropped;
+        untold += dropped;
+        if room && untold > 0 {
+            warn!(desk.log, "log lines dropped"; "count" => untold);
+            untold = 0;
         }
     }
     Ok(())
