--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -16,6 +16,10 @@
 /// The longest wait in a turn: one that lasts longer than asked for tells that we were not let run.
 const TURN_MOST: Micros = 50_000;
 
+/// Turns that may fail one after another: one socket's trouble must not end the others' tickets, and a loop
+/// that is broken for good must not spin.
+const FAILURES_MOST: u32 = 100;
+
 /// The module's host: carries out its calls at the desk.
 pub struct Hands(pub Rc<RefCell<Desk>>);
 
@@ -58,7 +62,7 @@
 
 /// Serves until told to stop and done.
 pub fn serve(event_loop: &mut EventLoop<'static, Node>, node: &mut Node, pipe: &Pipe) -> Result<(), String> {
-    let mut untold = 0;
+    let (mut untold, mut failures) = (0, 0);
     while !node.over {
         let wait = {
             let mut desk = node.desk.borrow_mut();
@@ -67,9 +71,14 @@
             desk.turn.begin(now, now + wait);
             wait
         };
-        event_loop
-            .dispatch(Some(Duration::from_micros(wait)), node)
-            .map_err(|problem| format!("the event loop failed: {problem}"))?;
+        match event_loop.dispatch(Some(Duration::from_micros(wait)), node) {
+            Ok(()) => failures = 0,
+            Err(problem) if failures < FAILURES_MOST => {
+                failures += 1;
+                warn!(node.desk.borrow().log, "a turn failed"; "problem" => %problem);
+            }
+            Err(problem) => return Err(format!("the event loop failed: {problem}")),
+        }
         let began = node.desk.borrow().now();
         node.deadlines();
         let mut desk = node.desk.borrow_mut();
