A watch waits for 0.75 of the span within which we must ask, 20 s at most

Found by reading the rule against discovery.rs: a discovery that vanished and came back without our watch counts us as told after askWithinUs (10 s), and a watch of 20 s would be given up only after 21.5 s, with drains not known. Now 7.5 s, given up at 9 s. latest_turn_us is longest_turn_us, which it always was.

--- a/node/src/life/place.rs
+++ b/node/src/life/place.rs
@@ -34,8 +34,8 @@
     pub idle: Micros,
     pub connect_timeout: Micros,
     pub drain_grace: Micros,
-    /// The module asks for the list itself.
-    pub asks_itself: bool,
+    /// Set where the module asks for the list itself: the longest it may go without asking.
+    pub ask_within: Option<Micros>,
     /// Answers hold load reports.
     pub loads_told: bool,
 }
@@ -98,7 +98,7 @@
             idle: whole(caps, "connIdleUs")?,
             connect_timeout: whole(caps, "connectTimeoutUs")?,
             drain_grace: whole(part(settings, "rules")?, "drainGraceUs")?,
-            asks_itself: terms.ask_within.is_some(),
+            ask_within: terms.ask_within,
             loads_told: text(part(settings, "report")?, "source")? == "inline",
         };
         Ok((place, terms))
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -83,7 +83,7 @@
         node.deadlines();
         let mut desk = node.desk.borrow_mut();
         let took = desk.now().saturating_sub(began);
-        desk.counters.latest_turn_us = desk.counters.latest_turn_us.max(took);
+        desk.counters.longest_turn_us = desk.counters.longest_turn_us.max(took);
         let (dropped, room) = pipe.flush();
         desk.counters.log_lines_dropped += dropped;
         untold += dropped;
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -109,7 +109,7 @@
         }
     }
     let mut desk = node.desk.borrow_mut();
-    if !desk.place.asks_itself {
+    if desk.place.ask_within.is_none() {
         desk.follow_list();
     }
     drop(desk);
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -45,5 +45,5 @@
     lists_taken,
     lists_failed,
     log_lines_dropped,
-    latest_turn_us,
+    longest_turn_us,
 }
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -182,7 +182,7 @@
     let mut stand = Stand::new();
     let (client, _) = stand.client();
     say(&client, &format!("GET /stats HTTP/{version}\r\n\r\n"));
-    let heard = stand.heard(&client, "latest_turn_us 0\n");
+    let heard = stand.heard(&client, "longest_turn_us 0\n");
     assert!(
         heard.contains("\r\nConnection: close\r\n") && heard.contains("\nclients_accepted 1\n"),
         "{heard}"
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -25,9 +25,11 @@
 mod tests;
 
 /// How long a watch may wait at discovery. What a cut-off discovery has to tell counts as told two seconds
-/// after the wait of the call that is out, so a long wait bridges longer cuts; a discovery that comes back
-/// resets the connection, and we ask anew at once.
-const WATCH_MS: u64 = 20_000;
+/// after the wait of the call that is out, so a long wait bridges longer cuts.
+const WATCH_MOST: Micros = 20_000_000;
+/// Part of the span within which the settings want us to ask that a watch may wait: a discovery that came back
+/// without knowing of it counts us as told after that span, and the next call must come before.
+const WATCH_PART: f64 = 0.75;
 /// How long an answer may take beyond that wait; a whole list may queue at discovery for two seconds first.
 const OVERDUE: Micros = 1_500_000;
 const QUEUED: Micros = 1_000_000;
@@ -238,7 +240,7 @@
         let mut desk = self.desk.borrow_mut();
         desk.counters.lists_failed += 1;
         desk.end_discovery(reason);
-        let asks_itself = desk.place.asks_itself;
+        let asks_itself = desk.place.ask_within.is_some();
         let roster = &mut desk.roster;
         roster.asking = false;
         let wait = RETRY_FIRST << roster.failures.min(RETRY_DOUBLINGS);
@@ -270,7 +272,8 @@
         let (path, wait) = match self.roster.version {
             None => ("/registry/instances".to_owned(), QUEUED),
             Some(version) => {
-                (format!("/registry/instances?since={version}&timeout_ms={WATCH_MS}"), WATCH_MS * 1000)
+                let wait = watch_wait(self.place.ask_within);
+                (format!("/registry/instances?since={version}&timeout_ms={}", wait / 1000), wait)
             }
         };
         let address = self.place.discovery;
@@ -342,6 +345,11 @@
     }
 }
 
+fn watch_wait(ask_within: Option<Micros>) -> Micros {
+    let part = |within| (within as f64 * WATCH_PART) as Micros;
+    ask_within.map_or(WATCH_MOST, |within| part(within).min(WATCH_MOST))
+}
+
 type Found = (Vec<std::ops::Range<usize>>, usize, bool);
 
 /// The body of a whole answer, its end, and whether the connection lasts; nothing while part is missing.
--- a/node/src/wire/discovery/tests.rs
+++ b/node/src/wire/discovery/tests.rs
@@ -24,7 +24,7 @@
     let address = listener().local_addr().unwrap();
     say(&call, &answer(&json!({"rev": 41, "all": true, "targets": [entry("s1", address, "active")]})));
     let watch = stand.heard(&call, "\r\n\r\n");
-    assert!(watch.starts_with("GET /registry/instances?since=41&timeout_ms=20000 HTTP/1.1\r\n"), "{watch}");
+    assert!(watch.starts_with("GET /registry/instances?since=41&timeout_ms=7500 HTTP/1.1\r\n"), "{watch}");
     let desk = stand.node.desk.borrow();
     assert_eq!(desk.upstreams[desk.by_name["s1"]].address, Some(address));
     assert!(desk.roster.stands(desk.now()));
@@ -68,6 +68,18 @@
     assert_eq!((drains("s1"), drains("s2")), (true, false));
 }
 
+#[rstest]
+#[case::as_long_as_may_be(None, WATCH_MOST)]
+#[case::no_longer_than_that(Some(60_000_000), WATCH_MOST)]
+#[case::asked_anew_in_time(Some(10_000_000), 7_500_000)]
+fn a_watch_waits_no_longer_than_we_may_go_without_asking(
+    #[case] within: Option<Micros>,
+    #[case] wait: Micros,
+) {
+    assert_eq!(watch_wait(within), wait);
+    assert!(within.is_none_or(|within| wait + OVERDUE + CONNECT_WITHIN <= within));
+}
+
 #[rstest]
 #[case::address("endpoint", json!("somewhere"))]
 #[case::state("state", json!("resting"))]
