A discovery that closes between two calls no longer ends the following of the list

Found by reading: discovery.rs end_discovery took down the next call's deadline with the connection, so where discovery closed in the 0.1 s between calls nobody asked again, and the list stood for good. Now only a call that ended takes its deadline down. The new test hangs on the code before.

--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -134,6 +134,7 @@
         let found = whole_list(roster.inbox.kept(), inflow == Inflow::Ended);
         match found {
             _ if !roster.asking => {
+                // The next call may be due already, and is made on a new connection.
                 if ended || failed || !roster.inbox.kept().is_empty() {
                     desk.end_discovery(reasons::DISCOVERY_CLOSED);
                 }
@@ -143,6 +144,7 @@
                 let text: Vec<u8> =
                     bodies.iter().flat_map(|range| &message[range.clone()]).copied().collect();
                 roster.asking = false;
+                desk.deadlines.clear(&mut roster.due);
                 if !lasts || ended {
                     desk.end_discovery(reasons::DISCOVERY_CLOSED);
                 }
@@ -237,9 +239,11 @@
 
     /// A call for the list failed: the list that we have stands, and the module says when to ask anew.
     fn call_failed(&mut self, reason: &'static str) {
-        let mut desk = self.desk.borrow_mut();
+        let mut borrowed = self.desk.borrow_mut();
+        let desk = &mut *borrowed;
         desk.counters.lists_failed += 1;
         desk.end_discovery(reason);
+        desk.deadlines.clear(&mut desk.roster.due);
         let asks_itself = desk.place.ask_within.is_some();
         let roster = &mut desk.roster;
         roster.asking = false;
@@ -250,7 +254,7 @@
             let at = desk.now() + wait;
             desk.ask_at(at);
         }
-        drop(desk);
+        drop(borrowed);
         self.balancer.list_failed();
     }
 }
@@ -306,7 +310,6 @@
         self.roster.inbox.forget();
         self.roster.outbox = Outbox::default();
         self.roster.connected = false;
-        self.deadlines.clear(&mut self.roster.due);
         if let Some(wired) = self.roster.wired.take() {
             self.handle.remove(wired.token);
             info!(self.log, "discovery ended"; "reason" => reason);
--- a/node/src/wire/discovery/tests.rs
+++ b/node/src/wire/discovery/tests.rs
@@ -48,6 +48,21 @@
     assert_eq!((desk.counters.lists_failed, desk.upstreams[desk.by_name["s1"]].drains), (1, None));
 }
 
+#[test]
+fn a_discovery_that_closes_between_calls_is_asked_on() {
+    let mut stand = Stand::new();
+    let first = call(&mut stand);
+    say(&first, &answer(&json!({"rev": 41, "all": true, "targets": []})));
+    // The next call is not made at once: the close comes before it.
+    stand.until(|node| node.desk.borrow().roster.taken.then_some(()));
+    drop(first);
+    stand.until(|node| node.desk.borrow().roster.wired.is_none().then_some(()));
+    let discovery = stand.discovery.try_clone().unwrap();
+    let next = stand.accepted(&discovery);
+    assert!(stand.heard(&next, "\r\n\r\n").contains("since=41"));
+    assert_eq!(stand.node.desk.borrow().counters.lists_failed, 0);
+}
+
 #[test]
 fn a_call_without_an_answer_is_given_up_and_made_again() {
     let mut stand = Stand::new();
