--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -106,6 +106,8 @@
             };
         }
         match inflow {
+            // Its sending is over, but it may be taking an answer; if not, writing will tell.
+            Inflow::Ended if !client.outbox.is_empty() => Look::Nothing,
             Inflow::Ended if client.ticket.is_none() && !client.inbox.kept().is_empty() => {
                 Look::Gone(reasons::CLIENT_CUT_SHORT)
             }
@@ -116,9 +118,7 @@
                 Look::Nothing
             }
             // Answers that are not taken must not pile up.
-            Inflow::Dry | Inflow::Full if client.ticket.is_some() || !client.outbox.is_empty() => {
-                Look::Nothing
-            }
+            Inflow::Dry | Inflow::Full if waits => Look::Nothing,
             Inflow::Dry | Inflow::Full if client.inbox.kept().is_empty() => Look::Nothing,
             Inflow::Dry | Inflow::Full => Look::Message,
         }
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -85,6 +85,30 @@
     assert!(client.outbox.length() < MESSAGE_MOST, "{}", client.outbox.length());
 }
 
+#[test]
+fn an_answer_under_way_goes_on_where_the_client_only_ended_its_sending() {
+    let mut stand = Stand::new();
+    let (client, slot) = stand.client();
+    // More than the sockets' buffers hold.
+    let body: Vec<Bytes> = (0..100).map(|_| Bytes::from(vec![b'x'; 100_000])).collect();
+    stand.node.desk.borrow_mut().write_answer(slot, 200, Vec::new(), body);
+    client.shutdown(Shutdown::Write).unwrap();
+    let mut taken = 0;
+    let mut reader = client.try_clone().unwrap();
+    stand.until(|_| {
+        let mut part = vec![0; 1_000_000];
+        match std::io::Read::read(&mut reader, &mut part) {
+            Ok(0) => Some(()),
+            Ok(count) => {
+                taken += count;
+                None
+            }
+            Err(problem) => (problem.kind() != std::io::ErrorKind::WouldBlock).then_some(()),
+        }
+    });
+    assert!(taken > 10_000_000, "{taken}");
+}
+
 #[test]
 fn a_body_far_too_long_is_read_away_so_that_its_answer_arrives() {
     let mut stand = Stand::new();
