A stop waits for its backlog; accepting rests when a freed descriptor did not help

Found by reading: stop.rs closed the listener even where a full house had left connections in its backlog, which count as taken; accepting.rs ended up to 64 idle clients in a row where accept failed for another reason than descriptors.

--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -28,7 +28,8 @@
 pub struct Node {
     pub balancer: Balancer<Hands>,
     pub desk: Rc<RefCell<Desk>>,
-    pub stopping: Option<crate::life::stop::Stop>,
+    /// When it was told to stop.
+    pub stopping: Option<Micros>,
     pub over: bool,
 }
 
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -21,12 +21,6 @@
 /// When we end whatever is left: no ticket may wait that long.
 const GIVE_UP: Micros = 10_000_000;
 
-/// How far the stop has come.
-pub struct Stop {
-    began: Micros,
-    accepting: bool,
-}
-
 impl Node {
     pub fn signalled(&mut self, signal: Signal) {
         let mut desk = self.desk.borrow_mut();
@@ -39,21 +33,23 @@
         info!(desk.log, "told to stop"; "tickets" => desk.tickets.len(), "clients" => desk.clients.len());
         desk.stopping = true;
         let began = desk.now();
-        self.stopping = Some(Stop { began, accepting: true });
+        self.stopping = Some(began);
         drop(desk);
         self.stop_on();
     }
 
     /// Looks how far the stop has come.
     pub fn stop_on(&mut self) {
-        let Some(stop) = &mut self.stopping else { return };
+        let Some(began) = self.stopping else { return };
         let now = self.desk.borrow().now();
-        let since = now.saturating_sub(stop.began);
-        if since >= ACCEPT_ON && stop.accepting {
-            stop.accepting = false;
-            // What lies in the backlog counts as taken.
+        let since = now.saturating_sub(began);
+        if since >= ACCEPT_ON {
+            // What lies in the backlog counts as taken: where there is no room now, it waits for some.
             while self.accept() {}
-            self.desk.borrow_mut().close_listener();
+            let mut desk = self.desk.borrow_mut();
+            if !desk.backlog_waits() {
+                desk.close_listener();
+            }
         }
         // What came in meanwhile is served, not closed.
         let slots: Vec<_> = self.desk.borrow().clients.keys().collect();
@@ -62,7 +58,7 @@
         desk.close_idle_clients(since >= ACCEPT_ON + FIRST_MESSAGE);
         let waiting =
             desk.clients.values().any(|client| client.ticket.is_some() || !client.outbox.is_empty());
-        let done = since >= ACCEPT_ON + FIRST_MESSAGE && !waiting;
+        let done = since >= ACCEPT_ON + FIRST_MESSAGE && !waiting && desk.listener.is_none();
         if done || since >= GIVE_UP {
             info!(desk.log, "stopped"; "unanswered" => desk.tickets.len());
             self.over = true;
--- a/node/src/wire/accepting.rs
+++ b/node/src/wire/accepting.rs
@@ -30,6 +30,7 @@
 impl Node {
     /// Takes in what the listener has; true where more may be waiting.
     pub fn accept(&mut self) -> bool {
+        let mut failed = false;
         for _ in 0..ACCEPT_AT_ONCE {
             let mut desk = self.desk.borrow_mut();
             let Some(listener) = desk.listener.as_ref().map(|(listener, _)| Rc::clone(listener)) else {
@@ -53,11 +54,13 @@
                 Err(problem) => {
                     desk.counters.accepts_failed += 1;
                     warn!(desk.log, "accept failed"; "problem" => %problem);
-                    // Out of descriptors: what lies in the backlog counts as taken, so an idle one gives way.
-                    if !desk.make_room() {
+                    // Out of descriptors: what lies in the backlog counts as taken, so an idle one gives way. If
+                    // that did not help, ending more of them would not either.
+                    if failed || !desk.make_room() {
                         desk.rest_accepting();
                         return false;
                     }
+                    failed = true;
                 }
             }
         }
@@ -142,6 +145,11 @@
         }
     }
 
+    /// Whether somebody waits to be accepted.
+    pub fn backlog_waits(&self) -> bool {
+        self.listener.as_ref().is_some_and(|(listener, _)| one_waits(listener))
+    }
+
     pub fn close_listener(&mut self) {
         if let Some((_, token)) = self.listener.take() {
             self.handle.remove(token);
