One piece of code for what the network code wrote two to four times

Found on a last reading of the whole change; nothing acts otherwise, no assertion changed: - a socket's place in the loop, written three times: Wired::new; - a dispatch that is over, written three times: Desk::over; - whether a client is owed something, written five times: Client::is_owed; - a look at a descriptor without waiting, twice: buffers::ready; whether an answer leaves its connection fit: heads::lasts; - the end of idle connections on doubt stood beside end_link at two callers: now end_link's own; - the stop's time stood in the node and as a flag on the desk: only on the desk (two tests set it there).

--- a/node/src/life/log.rs
+++ b/node/src/life/log.rs
@@ -4,9 +4,11 @@
 use std::io::Write as _;
 use std::sync::{Arc, Mutex};
 
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::event::PollFlags;
 use slog::{Drain, KV, Logger, Never, OwnedKVList, Record, Serializer, o};
 
+use crate::memory::buffers::ready;
+
 #[cfg(test)]
 mod tests;
 
@@ -58,10 +60,7 @@
 
 /// Whether standard error takes some bytes without waiting. Others may share it: its flags stay as they are.
 fn takes_more() -> bool {
-    let stderr = std::io::stderr();
-    let mut fds = [PollFd::new(&stderr, PollFlags::OUT)];
-    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
-    poll(&mut fds, Some(&at_once)).is_ok() && fds[0].revents() == PollFlags::OUT
+    ready(&std::io::stderr(), PollFlags::OUT) == PollFlags::OUT
 }
 
 struct Line(String);
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -28,8 +28,6 @@
 pub struct Node {
     pub balancer: Balancer<Hands>,
     pub desk: Rc<RefCell<Desk>>,
-    /// When it was told to stop.
-    pub stopping: Option<Micros>,
     pub over: bool,
 }
 
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -93,12 +93,12 @@
         roster: Roster::new(seed, now),
         deadlines: Deadlines::default(),
         counters: Counters::default(),
-        stopping: false,
+        stopping: None,
         shortage_told: 0,
         turn: Turn::default(),
     }));
     let balancer = Balancer::start(Hands(Rc::clone(&desk)), seed, terms, now);
-    let mut node = Node { balancer, desk, stopping: None, over: false };
+    let mut node = Node { balancer, desk, over: false };
     if let Some(known) = optional(told, "known", Some)? {
         // An old list that cannot be read is no reason not to serve: discovery has a new one.
         match node.take_list(known) {
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -7,7 +7,7 @@
 use crate::life::reasons;
 use crate::life::serve::Node;
 use crate::memory::deadlines::Due;
-use crate::memory::desk::Desk;
+use crate::memory::desk::{Client, Desk};
 
 #[cfg(test)]
 mod tests;
@@ -27,21 +27,22 @@
         if signal == Signal::SIGUSR1 {
             return desk.tell_counters();
         }
-        if desk.stopping {
+        if desk.stopping.is_some() {
             return;
         }
         info!(desk.log, "told to stop"; "tickets" => desk.tickets.len(), "clients" => desk.clients.len());
-        desk.stopping = true;
-        let began = desk.now();
-        self.stopping = Some(began);
+        desk.stopping = Some(desk.now());
         drop(desk);
         self.stop_on();
     }
 
     /// Looks how far the stop has come.
     pub fn stop_on(&mut self) {
-        let Some(began) = self.stopping else { return };
-        let now = self.desk.borrow().now();
+        let (now, stopping) = {
+            let desk = self.desk.borrow();
+            (desk.now(), desk.stopping)
+        };
+        let Some(began) = stopping else { return };
         let since = now.saturating_sub(began);
         if since >= ACCEPT_ON {
             // What lies in the backlog counts as taken: where there is no room now, it waits for some.
@@ -56,8 +57,7 @@
         slots.into_iter().for_each(|slot| self.client_ready(slot));
         let mut desk = self.desk.borrow_mut();
         desk.close_idle_clients(since >= ACCEPT_ON + FIRST_MESSAGE);
-        let waiting =
-            desk.clients.values().any(|client| client.ticket.is_some() || !client.outbox.is_empty());
+        let waiting = desk.clients.values().any(Client::is_owed);
         let done = since >= ACCEPT_ON + FIRST_MESSAGE && !waiting && desk.listener.is_none();
         if done || since >= GIVE_UP {
             info!(desk.log, "stopped"; "unanswered" => desk.tickets.len());
--- a/node/src/life/stop/tests.rs
+++ b/node/src/life/stop/tests.rs
@@ -33,7 +33,7 @@
 fn a_stop_goes_on_accepting_for_a_while(#[case] since: Micros, #[case] listens: bool, #[case] over: bool) {
     let mut stand = Stand::new();
     let began = stand.node.desk.borrow().now() - since;
-    stand.node.stopping = Some(began);
+    stand.node.desk.borrow_mut().stopping = Some(began);
     stand.node.stop_on();
     assert_eq!((stand.node.desk.borrow().listener.is_some(), stand.node.over), (listens, over));
 }
@@ -44,7 +44,7 @@
     stand.node.desk.borrow_mut().place.clients_most = 0;
     let waiting = std::net::TcpStream::connect(stand.address).unwrap();
     let began = stand.node.desk.borrow().now() - ACCEPT_ON - FIRST_MESSAGE;
-    stand.node.stopping = Some(began);
+    stand.node.desk.borrow_mut().stopping = Some(began);
     stand.node.stop_on();
     assert!(stand.node.desk.borrow().listener.is_some() && !stand.node.over);
     stand.node.desk.borrow_mut().place.clients_most = 1;
--- a/node/src/memory/buffers.rs
+++ b/node/src/memory/buffers.rs
@@ -4,8 +4,10 @@
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::TcpStream;
+use std::os::fd::AsFd;
 
 use bytes::{Buf, Bytes, BytesMut};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 #[cfg(test)]
 mod tests;
@@ -27,6 +29,16 @@
     Broken,
 }
 
+/// What a descriptor is ready for, of what is wanted or gone wrong, without waiting.
+pub fn ready(of: &impl AsFd, wanted: PollFlags) -> PollFlags {
+    let mut fds = [PollFd::new(of, wanted)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    match poll(&mut fds, Some(&at_once)) {
+        Ok(_) => fds[0].revents(),
+        Err(_) => PollFlags::empty(),
+    }
+}
+
 #[derive(Default)]
 pub struct Inbox {
     bytes: BytesMut,
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -1,11 +1,13 @@
 //! All that the program keeps while it serves: the tables, and what every part of it reaches for.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
 use bytes::Bytes;
-use calloop::{LoopHandle, RegistrationToken};
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use pinefront::Micros;
 use slog::Logger;
 use slotmap::SlotMap;
@@ -25,6 +27,23 @@
     pub token: RegistrationToken,
 }
 
+impl Wired {
+    /// Gives a socket its place in the loop: `ready` is called whenever it may be read from or written to.
+    pub fn new(
+        handle: &LoopHandle<'static, Node>,
+        stream: TcpStream,
+        ready: impl Fn(&mut Node) + 'static,
+    ) -> io::Result<Self> {
+        let stream = Rc::new(stream);
+        let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
+        let token = handle.insert_source(source, move |_, _, node: &mut Node| {
+            ready(node);
+            Ok(PostAction::Continue)
+        });
+        Ok(Self { stream, token: token.map_err(|problem| io::Error::other(problem.error))? })
+    }
+}
+
 pub struct Client {
     pub wired: Wired,
     pub peer: SocketAddr,
@@ -45,6 +64,13 @@
     pub due: Option<deadlines::Place>,
 }
 
+impl Client {
+    /// Whether it waits for an answer or for the rest of one.
+    pub fn is_owed(&self) -> bool {
+        self.ticket.is_some() || !self.outbox.is_empty()
+    }
+}
+
 /// What a connection to an upstream carries.
 pub struct Errand {
     pub ticket: TicketSlot,
@@ -102,8 +128,8 @@
     pub roster: Roster,
     pub deadlines: Deadlines,
     pub counters: Counters,
-    /// Told to stop: not ready, and connections close between tickets.
-    pub stopping: bool,
+    /// When it was told to stop: not ready from then on, and connections close between tickets.
+    pub stopping: Option<Micros>,
     /// When the log was last told that no descriptor is left for an upstream.
     pub shortage_told: Micros,
     pub turn: Turn,
@@ -125,6 +151,17 @@
         Some(released)
     }
 
+    /// Marks a dispatch as over, and tells its ticket's id if somebody still waits for the answer.
+    pub fn over(&mut self, slot: TicketSlot, number: usize) -> Option<Rc<str>> {
+        let ticket = self.tickets.get_mut(slot)?;
+        if let Some(link) = ticket.dispatches.get_mut(number) {
+            *link = None;
+        }
+        let waits = ticket.client.is_some().then(|| Rc::clone(&ticket.id));
+        self.tidy(slot);
+        waits
+    }
+
     /// Forgets a ticket that nobody waits for and that has nothing out.
     pub fn tidy(&mut self, slot: TicketSlot) {
         let over = |ticket: &Ticket| ticket.client.is_none() && ticket.dispatches.iter().all(Option::is_none);
--- a/node/src/wire/accepting.rs
+++ b/node/src/wire/accepting.rs
@@ -4,15 +4,13 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction};
 use pinefront::Micros;
-use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::event::PollFlags;
 use slog::warn;
 
 use crate::life::reasons;
 use crate::life::serve::Node;
-use crate::memory::buffers::{Inbox, Outbox};
+use crate::memory::buffers::{Inbox, Outbox, ready};
 use crate::memory::deadlines::Due;
 use crate::memory::desk::{Client, Desk, Wired};
 use crate::wire::clients::IDLE_MOST;
@@ -71,17 +69,10 @@
 impl Desk {
     fn welcome(&mut self, stream: TcpStream, peer: SocketAddr) {
         let ready = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
-        let (handle, stream) = (self.handle.clone(), Rc::new(stream));
-        let made = ready.map_err(|problem| problem.to_string()).and_then(|()| {
+        let made = ready.and_then(|()| {
             self.clients.try_insert_with_key(|slot| {
-                let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
-                let token = handle.insert_source(source, move |_, _, node: &mut Node| {
-                    node.client_ready(slot);
-                    Ok(PostAction::Continue)
-                });
-                let wired = Wired { stream, token: token.map_err(|problem| problem.to_string())? };
                 Ok(Client {
-                    wired,
+                    wired: Wired::new(&self.handle, stream, move |node| node.client_ready(slot))?,
                     peer,
                     inbox: Inbox::default(),
                     outbox: Outbox::default(),
@@ -104,7 +95,7 @@
             Err(problem) => {
                 self.counters.accepts_failed += 1;
                 warn!(self.log, "connection lost at once"; "reason" => reasons::NOT_WIRED, "peer" => %peer,
-                    "problem" => problem);
+                    "problem" => %problem);
             }
         }
     }
@@ -112,14 +103,13 @@
     /// Closes the client's connection that has kept us waiting for longest, between tickets or with part of a
     /// request, or else an idle one to an upstream.
     pub fn make_room(&mut self) -> bool {
-        let waits = |client: &&Client| client.ticket.is_none() && client.outbox.is_empty();
         // What lies unread in the socket may be a whole request, and then it is taken.
         let unread = |client: &Client| client.wired.stream.peek(&mut [0]).is_ok_and(|count| count > 0);
         let now = self.clock.now();
         // Whoever opened a connection or began a request just now is about to go on with it.
         let begun = |client: &Client| client.answered == 0 || !client.inbox.kept().is_empty();
         let last = |client: &Client| (begun(client) && now < client.since + ABOUT_TO_SEND, client.since);
-        let mut waiting: Vec<_> = self.clients.iter().filter(|(_, client)| waits(client)).collect();
+        let mut waiting: Vec<_> = self.clients.iter().filter(|(_, client)| !client.is_owed()).collect();
         waiting.sort_by_key(|(_, client)| last(client));
         match waiting.into_iter().find(|(_, client)| !unread(client)).map(|(slot, _)| slot) {
             Some(slot) => self.end_client(slot, reasons::MADE_ROOM),
@@ -159,7 +149,5 @@
 
 /// Whether a connection waits to be accepted.
 fn one_waits(listener: &TcpListener) -> bool {
-    let mut fds = [PollFd::new(listener, PollFlags::IN)];
-    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
-    poll(&mut fds, Some(&at_once)).is_ok_and(|ready| ready > 0)
+    !ready(listener, PollFlags::IN).is_empty()
 }
--- a/node/src/wire/answers.rs
+++ b/node/src/wire/answers.rs
@@ -55,14 +55,7 @@
             true => desk.shelve(slot),
             false => desk.end_link(slot, reasons::LINK_LAST),
         }
-        let mut told = None;
-        if let Some(ticket) = desk.tickets.get_mut(errand.ticket) {
-            if let Some(link) = ticket.dispatches.get_mut(errand.number) {
-                *link = None;
-            }
-            told = ticket.client.is_some().then(|| Rc::clone(&ticket.id));
-            desk.tidy(errand.ticket);
-        }
+        let told = desk.over(errand.ticket, errand.number);
         desk.count_ending(ending);
         let last = ending == Ending::Succeeded;
         if told.is_some() && last {
@@ -107,9 +100,7 @@
             204 | 304 => Framing::Length(0),
             _ => heads::framing(response.headers).ok()?,
         };
-        let lasts = response.version == Some(1)
-            && framing != Framing::Unsaid
-            && !heads::lists(response.headers, "connection", "close");
+        let lasts = heads::lasts(&response, framing);
         return match heads::body(kept, head, framing, ended, BODY_MOST) {
             // Nothing tells a body that ended from one that was cut short.
             Body::Whole(..) if framing == Framing::Unsaid && response.code == Some(200) => {
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -92,7 +92,7 @@
         if client.lingers {
             client.inbox.forget();
         }
-        let waits = client.ticket.is_some() || !client.outbox.is_empty();
+        let waits = client.is_owed();
         let most = if waits { READ_AHEAD } else { MESSAGE_MOST };
         let inflow = client.inbox.fill(&client.wired.stream, most);
         if client.lingers {
@@ -150,8 +150,9 @@
 
     pub fn write_answer(&mut self, slot: ClientSlot, status: u16, fields: Vec<Bytes>, body: Vec<Bytes>) {
         let Some(client) = self.clients.get_mut(slot) else { return };
-        if client.last || self.stopping {
-            let reason = if self.stopping { reasons::STOPPED } else { reasons::CLIENT_LAST };
+        let stopping = self.stopping.is_some();
+        if client.last || stopping {
+            let reason = if stopping { reasons::STOPPED } else { reasons::CLIENT_LAST };
             client.ending.get_or_insert(reason);
         }
         let close = if client.ending.is_some() { "Connection: close\r\n" } else { "" };
@@ -174,7 +175,7 @@
     /// After writing: ends the connection if that is due, or sees to what the client already sent.
     fn settle(&mut self, slot: ClientSlot) {
         let Some(client) = self.clients.get_mut(slot) else { return };
-        if !client.outbox.is_empty() || client.ticket.is_some() || client.lingers {
+        if client.is_owed() || client.lingers {
             return;
         }
         if client.ending.is_some() {
@@ -194,9 +195,8 @@
     /// Answers what is not a ticket.
     pub fn reject(&mut self, slot: ClientSlot, status: u16) {
         self.counters.malformed += 1;
-        let allow = |method| vec![Bytes::from_static(b"Allow: "), method, Bytes::from_static(b"\r\n")];
         let fields = match status {
-            405 => allow(Bytes::from_static(b"GET, POST")),
+            405 => vec![Bytes::from_static(b"Allow: GET, POST\r\n")],
             _ => Vec::new(),
         };
         self.write_answer(slot, status, fields, Vec::new());
@@ -212,9 +212,7 @@
 
     /// Closes connections that stand between tickets, once what they sent has been looked at.
     pub fn close_idle_clients(&mut self, fresh_too: bool) {
-        let idle = |client: &Client| {
-            client.ticket.is_none() && client.outbox.is_empty() && client.inbox.kept().is_empty()
-        };
+        let idle = |client: &Client| !client.is_owed() && client.inbox.kept().is_empty();
         let slots: Vec<_> = self
             .clients
             .iter()
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -1,11 +1,8 @@
 //! Discovery: the list of upstreams and the watch on its changes, one call at a time.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 use bytes::Bytes;
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction};
 use httparse::{Response, Status};
 use nanorand::{Rng, WyRand};
 use pinefront::Micros;
@@ -18,7 +15,7 @@
 use crate::memory::buffers::{Inbox, Inflow, Outbox};
 use crate::memory::deadlines::{Due, Place};
 use crate::memory::desk::{Desk, Wired};
-use crate::wire::heads::{self, FIELDS_MOST, Framing, HEAD_MOST};
+use crate::wire::heads::{self, FIELDS_MOST, HEAD_MOST};
 use crate::wire::upstreams::connect;
 
 #[cfg(test)]
@@ -247,9 +244,10 @@
         let asks_itself = desk.place.ask_within.is_some();
         let roster = &mut desk.roster;
         roster.asking = false;
-        let wait = RETRY_FIRST << roster.failures.min(RETRY_DOUBLINGS);
+        let failures = roster.failures;
         roster.failures += 1;
         if !asks_itself {
+            let wait = RETRY_FIRST << failures.min(RETRY_DOUBLINGS);
             let wait = wait / 2 + roster.chance.generate_range(0..=wait / 2);
             let at = desk.now() + wait;
             desk.ask_at(at);
@@ -293,14 +291,8 @@
             // What fails here is read from the connection, on a later turn.
             Some(wired) => _ = self.roster.outbox.drain(&wired.stream),
             None => {
-                let stream = Rc::new(connect(address)?);
-                let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
-                let token = self.handle.insert_source(source, |_, _, node: &mut Node| {
-                    node.discovery_ready();
-                    Ok(PostAction::Continue)
-                });
-                let token = token.map_err(|problem| std::io::Error::other(problem.to_string()))?;
-                self.roster.wired = Some(Wired { stream, token });
+                let wired = Wired::new(&self.handle, connect(address)?, Node::discovery_ready)?;
+                self.roster.wired = Some(wired);
             }
         }
         Ok(())
@@ -342,8 +334,7 @@
     /// Idle connections to what drains or is gone carry nothing any more.
     fn drop_left(&mut self) {
         let left = self.upstreams.iter().filter(|(_, upstream)| upstream.drains.is_some());
-        let left: Vec<_> =
-            left.filter(|(_, upstream)| !upstream.idle.is_empty()).map(|(slot, _)| slot).collect();
+        let left: Vec<_> = left.map(|(slot, _)| slot).collect();
         left.into_iter().for_each(|slot| self.drop_idle_links(slot, reasons::DRAINED));
     }
 }
@@ -368,9 +359,7 @@
         return Err(reasons::DISCOVERY_ERROR);
     }
     let framing = heads::framing(response.headers).map_err(|_| reasons::NONSENSE)?;
-    let lasts = response.version == Some(1)
-        && framing != Framing::Unsaid
-        && !heads::lists(response.headers, "connection", "close");
+    let lasts = heads::lasts(&response, framing);
     match heads::body(kept, head, framing, ended, LIST_MOST) {
         heads::Body::Whole(ranges, end) => Ok(Some((ranges, end, lasts))),
         heads::Body::Partial if kept.len() < LIST_MOST => Ok(None),
--- a/node/src/wire/hands.rs
+++ b/node/src/wire/hands.rs
@@ -19,12 +19,8 @@
         let mut desk = self.0.borrow_mut();
         let ticket = desk.by_id.get(ticket).and_then(|slot| desk.tickets.get(*slot));
         if let Some(link) = ticket.and_then(|ticket| ticket.dispatches.get(dispatch).copied().flatten()) {
-            desk.counters.dispatches_called_off += 1;
-            let doubtful = desk.long_silent(link);
+            desk.count_ending(Ending::CalledOff);
             desk.end_link(link, reasons::CALLED_OFF);
-            if let Some(upstream) = doubtful {
-                desk.drop_idle_links(upstream, reasons::STALE);
-            }
         }
     }
 
--- a/node/src/wire/heads.rs
+++ b/node/src/wire/heads.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 
 use bytes::Bytes;
-use httparse::Header;
+use httparse::{Header, Response};
 
 #[cfg(test)]
 mod tests;
@@ -133,6 +133,11 @@
     }
 }
 
+/// Whether an answer leaves its connection fit for another.
+pub fn lasts(answer: &Response, framing: Framing) -> bool {
+    answer.version == Some(1) && framing != Framing::Unsaid && !lists(answer.headers, "connection", "close")
+}
+
 /// Fields that speak of one connection only, or that the sender words anew.
 pub fn goes_on(name: &str) -> bool {
     const STAY: [&str; 9] = [
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -3,10 +3,7 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
-use std::rc::Rc;
 
-use calloop::generic::Generic;
-use calloop::{Interest, Mode, PostAction};
 use pinefront::{Ending, Micros};
 use slog::{info, warn};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -81,11 +78,7 @@
     fn link_over(&mut self, slot: LinkSlot, ending: Ending, reason: &'static str) {
         let mut desk = self.desk.borrow_mut();
         let errand = desk.links.get_mut(slot).and_then(|link| link.errand.take());
-        let upstream = desk.links.get(slot).map(|link| link.upstream);
         desk.end_link(slot, reason);
-        if let Some(upstream) = upstream.filter(|_| TELLS_OF_OTHERS.contains(&reason)) {
-            desk.drop_idle_links(upstream, reasons::STALE);
-        }
         drop(desk);
         if let Some(errand) = errand {
             self.dispatch_over(errand.ticket, errand.number, ending, errand.sent);
@@ -97,14 +90,9 @@
         let mut desk = self.desk.borrow_mut();
         let now = desk.now();
         desk.count_ending(ending);
-        let Some(open) = desk.tickets.get_mut(ticket) else { return };
-        if let Some(link) = open.dispatches.get_mut(number) {
-            *link = None;
-        }
-        let (id, waits) = (Rc::clone(&open.id), open.client.is_some());
-        desk.tidy(ticket);
+        let waits = desk.over(ticket, number);
         drop(desk);
-        if waits {
+        if let Some(id) = waits {
             self.balancer.dispatch_ended(now, &id, number, false, ending, now.saturating_sub(sent));
         }
     }
@@ -127,16 +115,9 @@
         }
         let address = self.upstreams.get(upstream).and_then(|upstream| upstream.address);
         let connected = address.ok_or(ErrorKind::NotFound.into()).and_then(|address| {
-            let stream = Rc::new(connect(address)?);
-            let handle = self.handle.clone();
+            let stream = connect(address)?;
             self.links.try_insert_with_key(|slot| {
-                let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
-                let token = handle.insert_source(source, move |_, _, node: &mut Node| {
-                    node.link_ready(slot);
-                    Ok(PostAction::Continue)
-                });
-                let wired =
-                    Wired { stream, token: token.map_err(|problem| io::Error::other(problem.error))? };
+                let wired = Wired::new(&self.handle, stream, move |node| node.link_ready(slot))?;
                 let (inbox, outbox) = (Inbox::default(), Outbox::default());
                 Ok(Link {
                     wired,
@@ -230,11 +211,10 @@
         }
     }
 
-    /// The upstream of a connection on which nothing came for as long as a new one may take to come about.
-    pub fn long_silent(&self, slot: LinkSlot) -> Option<UpstreamSlot> {
-        let link = self.links.get(slot)?;
-        let waited = self.now().saturating_sub(link.errand.as_ref()?.sent);
-        (waited > self.place.connect_timeout && link.inbox.kept().is_empty()).then_some(link.upstream)
+    /// Whether nothing came on a connection for as long as a new one may take to come about.
+    fn long_silent(&self, link: &Link) -> bool {
+        let waited = link.errand.as_ref().map_or(0, |errand| self.now().saturating_sub(errand.sent));
+        waited > self.place.connect_timeout && link.inbox.kept().is_empty()
     }
 
     /// Closes the idle connection whose time runs out first, to make room.
@@ -254,13 +234,10 @@
         let Some(mut link) = self.links.remove(slot) else { return };
         self.deadlines.clear(&mut link.due);
         self.handle.remove(link.wired.token);
-        if let Some(errand) = link.errand
-            && let Some(ticket) = self.tickets.get_mut(errand.ticket)
-        {
-            if let Some(link) = ticket.dispatches.get_mut(errand.number) {
-                *link = None;
-            }
-            self.tidy(errand.ticket);
+        let doubtful =
+            TELLS_OF_OTHERS.contains(&reason) || (reason == reasons::CALLED_OFF && self.long_silent(&link));
+        if let Some(errand) = link.errand {
+            self.over(errand.ticket, errand.number);
         }
         self.counters.links_ended += 1;
         if let Some(upstream) = self.upstreams.get_mut(link.upstream) {
@@ -268,6 +245,9 @@
             info!(self.log, "link ended"; "reason" => reason, "upstream" => &*upstream.id,
                 "carried" => link.carried);
         }
+        if doubtful {
+            self.drop_idle_links(link.upstream, reasons::STALE);
+        }
     }
 
     pub fn count_ending(&mut self, ending: Ending) {
