SIGHUP reads the file anew and follows the discovery that it names

Now life/reread.rs takes the file's discovery and descriptor limits; the list is asked for whole at once, as another discovery may count its versions otherwise. A file that can't be read leaves all as it was.

--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -121,11 +121,15 @@
     let (told, place, terms) = read(path, &variables())?;
     let mut event_loop: EventLoop<Node> =
         EventLoop::try_new().map_err(|problem| format!("cannot make the event loop: {problem}"))?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])
         .map_err(|problem| format!("cannot watch signals: {problem}"))?;
     let handle = event_loop.handle();
+    let file = path.map(str::to_owned);
     handle
-        .insert_source(signals, |event, &mut (), node: &mut Node| node.signalled(event.signal()))
+        .insert_source(signals, move |event, &mut (), node: &mut Node| match event.signal() {
+            Signal::SIGHUP => node.reread(file.as_deref(), &variables()),
+            signal => node.signalled(signal),
+        })
         .map_err(|problem| format!("cannot watch signals: {problem}"))?;
     let pipe = Pipe::default();
     let mut node = open(handle, &pipe, &told, place, terms)?;
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -44,6 +44,8 @@
     lists_asked,
     lists_taken,
     lists_failed,
+    rereads,
+    rereads_failed,
     log_lines_dropped,
     longest_turn_us,
 }
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -270,6 +270,15 @@
         self.deadlines.move_to(&mut self.roster.due, at, Due::Discovery);
     }
 
+    /// Discovery is somewhere else, and may count its versions otherwise: it is asked for the whole list.
+    pub fn discovery_moved(&mut self, address: SocketAddr) {
+        self.place.discovery = address;
+        self.end_discovery(reasons::MOVED);
+        self.roster.version = None;
+        self.roster.asking = false;
+        self.ask_at(self.clock.now());
+    }
+
     fn ask(&mut self) -> std::io::Result<()> {
         let (path, wait) = match self.roster.version {
             None => ("/registry/instances".to_owned(), QUEUED),
