An overdue dispatch leaves its place at its upstream, and second copies go sooner

At fault: patience(), patience_ran_out() and has_room() in src/decide.rs. Now a dispatch is overdue after 2.5 answer times, in_flight no longer counts it, and the second copy is looked for again each 10 ms. Several overdue ones count until one sent later succeeds.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -29,7 +29,7 @@
 const FLOOR: f64 = 0.4;
 /// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
 const WIDEST: f64 = 3.0;
-/// Homes of a key, each with less pull than the one before, and those for each upstream that it would fill.
+/// Homes of a key, each with less pull than the last, and those for each upstream that it would fill.
 const KEY_RANKS: usize = 3;
 const KEY_SPREAD: f64 = 8.0;
 /// How long a key's part of the traffic is remembered, and doubts about what was met once or little seen.
@@ -39,8 +39,7 @@
 /// Homes of one key that a balancer keeps to, and sums that all keys share: enough to tell the popular ones.
 const HOMES_KEPT: usize = 4;
 const KEY_SUMS: usize = 1024;
-/// Balancers that keep to an upstream and upstreams that a balancer keeps to, at the least: enough to choose
-/// among, few enough to be heard often; and those of the own zone for each one from elsewhere.
+/// Fewest balancers that keep to an upstream and upstreams that one keeps to, and near ones for each far one.
 const CIRCLE_SHARERS: usize = 4;
 const CIRCLE_LEAST: usize = 2;
 const NEAR_FOR_ONE_FAR: usize = 2;
@@ -69,14 +68,14 @@
 const FAILURES: f64 = 1.5;
 /// Suspected upstreams for each other one: the limits keep those left from being swamped.
 const MOST_OUT: usize = 3;
-/// First wait before a trial, in expected answer times; doubled at each failed trial so many times.
+/// First wait before a trial, in expected answer times, and its doublings.
 const TRIAL_WAIT: f64 = 3.0;
 const TRIAL_DOUBLINGS: u32 = 4;
 /// A failure counts as an answer this many times as late as usual, or as late as it was.
 const FAILURE_LATENCY: f64 = 3.0;
 
-/// Patience in expected answer times before a further dispatch.
-const PATIENCE: f64 = 4.0;
+/// Patience in expected answer times before a dispatch is overdue: below `SILENT`, so another is heard first.
+const PATIENCE: f64 = 2.5;
 /// Further dispatches as a share of tickets when all recent ones succeeded, and some that are always open.
 const FURTHER: f64 = 0.3;
 const FURTHER_FREE: f64 = 2.0;
@@ -84,17 +83,15 @@
 /// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
 const QUICKER: f64 = 0.1;
 const SLOWER: f64 = 0.002;
-/// In flight against what the shortest answer times would need; what all balancers may always have at an
-/// upstream, or its cores stay idle, and each in all, or one slow answer stops it.
+/// In flight against what the shortest answer times would need, and what all may always have at an upstream.
 const STRETCH: f64 = 1.5;
 const LEAST_EACH: f64 = 2.0;
 const LEAST_IN_ALL: f64 = 2.0;
 /// Where a limit counts as one ticket more: above a half, a limit of one could never grow.
 const ROUNDING: f64 = 0.4;
-/// Answer time over the shortest before a smaller share of tickets is let through, and the parts of the
-/// promised time that it stays between: a fleet may never be seen at ease. How quickly each ticket moves the
-/// share, the most that an answer counts, as a refusal does; the least share, that at the start, when nothing
-/// is known of the upstreams' speeds, and the answers it takes to leave it.
+/// Answer time over the shortest before fewer tickets are let through, within parts of the promised time: a
+/// fleet may never be seen at ease. How quickly a ticket moves the share, the most an answer counts, as a
+/// refusal does; the least share, that at the start, when no speeds are known, and the answers to leave it.
 const AT_EASE: f64 = 1.6;
 const EASE: (f64, f64) = (0.3, 0.5);
 const THINNING: f64 = 0.3;
@@ -104,8 +101,7 @@
 const HEARD_PRIOR: f64 = 0.5;
 /// How often held tickets are looked at.
 const PUMP_EVERY: Micros = 10_000;
-/// Part of the time a ticket has to spare that the queue before it may take, and beyond its account's share:
-/// a longer queue would stand for good, make every answer late and serve no more.
+/// Part of a ticket's spare time that the queue before it may take, also beyond its share: longer ones stand.
 const HELD_PART: f64 = 0.15;
 const HELD_PART_BEYOND: f64 = 0.04;
 /// Expected answer times after which a dismissed ticket may come back: past its promised time none is of use.
@@ -137,8 +133,7 @@
         balancer
     }
 
-    /// Over how long the balancers spread asking for the list: all at once they would crowd the roster, which
-    /// does not grow with them. It stays within the span after which we count as told.
+    /// Over how long the balancers spread asking for the list, or they would crowd the roster.
     fn follow_spread(&self) -> Option<Micros> {
         let others = self.terms.balancers as f64 - 1.0;
         self.terms.ask_within.map(|w| (FOLLOW_WITHIN * w as f64 * others / (others + FOLLOWERS)) as Micros)
@@ -191,8 +186,7 @@
         self.pump(now);
     }
 
-    /// Balancers that see little each keep to a few upstreams, of which they then hear often. Where each
-    /// starts on the common ring follows from its number: every upstream has as many balancers as another.
+    /// Balancers that see little keep to a few upstreams, from evenly spread starts on the common ring.
     fn draw_order(&mut self) {
         let mut ring: Vec<usize> = (0..self.upstreams.len()).filter(|&u| self.upstreams[u].ready).collect();
         if ring.len() == self.order.len() && self.order.iter().all(|&u| self.upstreams[u].ready) {
@@ -248,9 +242,7 @@
             (hint as f64 / usual.read().unwrap_or(1.0).max(1.0)).clamp(0.1, 10.0)
         });
         let within_share = self.within_share(now, account);
-        let (id, homes, streaming, dispatches) = (Rc::from(id), Vec::new(), false, Vec::new());
-        let mut ticket =
-            Ticket { id, use_case, homes, promised, hard_stop, work, within_share, streaming, dispatches };
+        let mut ticket = Ticket::new(Rc::from(id), use_case, promised, hard_stop, work, within_share);
         let [late, heard] =
             [&self.seen.pressure.total, &self.seen.pressure.weight].map(|s| s.read(now, SECOND));
         let ease = 1.0 - (late + HEARD_PRIOR) / (heard + HEARD_PRIOR);
@@ -267,7 +259,7 @@
         self.admit(now, ticket);
     }
 
-    /// The ordinary path of a ticket, from what is known of the upstreams to the dispatch.
+    /// The ordinary path of a ticket.
     fn place(&mut self, now: Micros, ticket: &mut Ticket) -> bool {
         let (ready, trial) = self.candidates(now, ticket);
         if let Some(u) = trial {
@@ -343,16 +335,19 @@
         if !ticket.dispatches.is_empty() {
             self.seen.further.add(now, LASTING, 1.0);
         }
-        ticket.dispatches.push(Dispatch { upstream: u, sent: now, out: true, may_have_run: true, scene });
+        ticket.dispatches.push(Dispatch::new(u, now, scene));
         self.host.dispatch(&ticket.id, &upstream.id, ticket.hard_stop);
-        if let Some(patience) = self.patience(now, ticket) {
-            self.last_alarm = self.last_alarm.max(PUMP_ALARM) + 1;
-            self.alarms.insert(self.last_alarm, Rc::clone(&ticket.id));
-            self.host.wake(patience, self.last_alarm);
-        }
+        self.watch(ticket, ticket.dispatches.len() - 1, self.patience(now, ticket, u));
         true
     }
 
+    /// Asks to be woken for a dispatch that may still be out.
+    fn watch(&mut self, ticket: &Ticket, number: usize, wait: Micros) {
+        self.last_alarm = self.last_alarm.max(PUMP_ALARM) + 1;
+        self.alarms.insert(self.last_alarm, (Rc::clone(&ticket.id), number));
+        self.host.wake(wait, self.last_alarm);
+    }
+
     /// The four rules for one more dispatch of a ticket to an upstream.
     fn permitted(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
         let upstream = &self.upstreams[u];
@@ -451,9 +446,9 @@
                 self.pump(now);
             }
             _ => {
-                let id = self.alarms.remove(&alarm);
-                if let Some(ticket) = id.and_then(|id| self.tickets.remove(&id)) {
-                    self.patience_ran_out(now, ticket);
+                let Some((id, number)) = self.alarms.remove(&alarm) else { return };
+                if let Some(ticket) = self.tickets.remove(&id) {
+                    self.patience_ran_out(now, ticket, number);
                 }
             }
         }
@@ -593,27 +588,33 @@
         further < FURTHER_FREE + FURTHER * succeeded * self.seen.arrivals.read(now, LASTING)
     }
 
-    /// How long to wait for this dispatch alone; nothing where no further one could follow in time.
-    fn patience(&self, now: Micros, ticket: &Ticket) -> Option<Micros> {
+    /// How long to wait for this dispatch alone, while a further one could follow in time.
+    fn patience(&self, now: Micros, ticket: &Ticket, u: usize) -> Micros {
         let expected = self.expected(ticket.use_case);
+        let usual = expected.max(self.upstreams[u].shortest.unwrap_or(0.0)) * ticket.work.max(1.0);
         let last = ticket.promised.saturating_sub(now) as f64 - expected;
-        let patience = (PATIENCE * expected * ticket.work.max(1.0)).min(last);
-        (self.redone(ticket) && patience > expected).then_some(patience as Micros)
-    }
-
-    /// Nothing came from a dispatch for long: a second copy goes elsewhere if that is open to the ticket.
-    fn patience_ran_out(&mut self, now: Micros, mut ticket: Ticket) {
-        if self.may_spend_more(now) && !ticket.streaming {
-            match self.terms.second_copies {
-                true => _ = self.place(now, &mut ticket),
-                false => self.call_off(&ticket, ticket.dispatches.len() - 1),
+        (PATIENCE * usual).min(if last > usual { last } else { f64::INFINITY }) as Micros
+    }
+
+    /// Nothing came from a dispatch for long: it leaves its place there to one that tells whether all
+    /// hangs or it alone, and a second copy goes elsewhere if that is open to the ticket.
+    fn patience_ran_out(&mut self, now: Micros, mut ticket: Ticket, number: usize) {
+        if let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) {
+            self.upstreams[dispatch.upstream].miss(dispatch, ticket.work);
+            let in_time = now + self.expected(ticket.use_case) as Micros / 2 < ticket.promised;
+            if in_time && self.redone(&ticket) && !ticket.streaming {
+                match self.may_spend_more(now) {
+                    true if !self.terms.second_copies => self.call_off(&ticket, number),
+                    true if self.place(now, &mut ticket) => {}
+                    _ => self.watch(&ticket, number, PUMP_EVERY),
+                }
             }
         }
         self.tickets.insert(Rc::clone(&ticket.id), ticket);
+        self.pump(now);
     }
 
-    /// The horizon of what is heard of one upstream: where a balancer sees little, long enough for some
-    /// answers from each that it keeps to, or chance would pass for load.
+    /// The horizon of what is heard of one upstream: some answers from each, or chance would pass for load.
     fn heard_within(&self, now: Micros) -> f64 {
         let rate = self.seen.arrivals.read(now, LASTING) / self.lived(now);
         (HEARD_EACH * self.circle().0 as f64 / rate.max(1e-9)).clamp(RECENT, LASTING)
@@ -640,14 +641,13 @@
 
     fn has_room(&self, now: Micros, u: usize) -> bool {
         let up = &self.upstreams[u];
-        up.full_until <= now && (up.in_flight == 0 || up.in_flight as f64 + ROUNDING < self.limit(now, u))
+        up.full_until <= now && (up.in_flight == 0 || up.places() + ROUNDING < self.limit(now, u))
     }
 
-    /// Whether all limits together leave room, with their root for chance: where balancers are many, each
-    /// one's part of an upstream is less than a ticket, and one each would be too much.
+    /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
     fn pool_has_room(&self, now: Micros) -> bool {
         let known = || self.order.iter().filter(|&&u| !self.upstreams[u].suspected);
-        let held: f64 = known().map(|&u| self.upstreams[u].in_flight as f64).sum();
+        let held: f64 = known().map(|&u| self.upstreams[u].places()).sum();
         let limit: f64 = known().take(self.circle().0).map(|&u| self.limit(now, u)).sum();
         held < f64::max(limit + (limit / self.terms.balancers as f64).sqrt(), LEAST_IN_ALL)
     }
@@ -684,8 +684,7 @@
         }
     }
 
-    /// Sends held tickets while there is room, the one whose time runs out first in front, and dismisses
-    /// those that can no longer be answered in time.
+    /// Sends held tickets while there is room, the most pressing first, and dismisses what is too late.
     fn pump(&mut self, now: Micros) {
         for mut ticket in std::mem::take(&mut self.held) {
             if self.last_start(&ticket) < now {
@@ -731,7 +730,7 @@
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
         let upstream = &mut self.upstreams[dispatch.upstream];
-        upstream.release(ticket.work);
+        upstream.end(dispatch, ticket.work);
         if ending == Ending::CalledOff || ending == Ending::NeverSent {
             // A client that left early says nothing of the upstream.
             if upstream.in_flight == 0 && !upstream.suspected {
@@ -757,6 +756,7 @@
         }
         let mut payoff = 0.0;
         if ending == Ending::Succeeded {
+            upstream.overdue.retain(|sent| *sent >= dispatch.sent);
             if upstream.suspected {
                 upstream.failed.sum *= 0.5;
                 (upstream.trial_at, upstream.failed_trials) = (now, 0);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -91,18 +91,10 @@
 }
 
 fn ticket(upstreams: &[usize], may_have_run: bool) -> Ticket {
-    let sent = |&upstream| Dispatch { upstream, sent: START_AT, out: false, may_have_run, scene: None };
-    Ticket {
-        id: Rc::from("t"),
-        use_case: 0,
-        homes: Vec::new(),
-        promised: START_AT + 400 * MS,
-        hard_stop: START_AT + 5_000 * MS,
-        work: 1.0,
-        within_share: true,
-        streaming: false,
-        dispatches: upstreams.iter().map(sent).collect(),
-    }
+    let sent = |&u| Dispatch { out: false, may_have_run, ..Dispatch::new(u, START_AT, None) };
+    let (promised, hard_stop) = (START_AT + 400 * MS, START_AT + 5_000 * MS);
+    let dispatches = upstreams.iter().map(sent).collect();
+    Ticket { dispatches, ..Ticket::new(Rc::from("t"), 0, promised, hard_stop, 1.0, true) }
 }
 
 #[rstest]
@@ -306,6 +298,45 @@
     assert!(balancer.upstreams[0].shortest > Some(99_000.0));
 }
 
+#[rstest]
+fn an_overdue_dispatch_leaves_its_place_to_another() {
+    let (mut balancer, _) = balancer(Effect::Irreversible, 1);
+    arrive(&mut balancer, START_AT, "a");
+    assert!(!balancer.has_room(START_AT, 0));
+    balancer.alarm_rang(START_AT + 300 * MS, balancer.last_alarm);
+    assert!(balancer.has_room(START_AT + 300 * MS, 0));
+    balancer.dispatch_ended(START_AT + 301 * MS, "a", 0, true, Ending::Succeeded, 301 * MS);
+    assert_eq!((balancer.upstreams[0].in_flight, balancer.upstreams[0].overdue.len()), (0, 0));
+}
+
+#[rstest]
+#[case::overtaken(10, 1.0)]
+#[case::only_slow(-10, 2.0)]
+fn overdue_dispatches_take_places_until_a_later_one_succeeds(#[case] later: i64, #[case] places: f64) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 1);
+    balancer.upstreams[0].overdue = vec![START_AT, START_AT + 1];
+    balancer.upstreams[0].in_flight = 2;
+    let mut sent = ticket(&[0], true);
+    (sent.dispatches[0].out, sent.dispatches[0].sent) = (true, START_AT.saturating_add_signed(later));
+    balancer.ended(START_AT + 100 * MS, &mut sent, 0, Ending::Succeeded, 20 * MS);
+    assert_eq!(balancer.upstreams[0].places(), places);
+}
+
+#[rstest]
+#[case::no_room(1_000, false, 0)]
+#[case::room(0, false, 1)]
+#[case::ended_since(0, true, 0)]
+fn a_second_copy_waits_for_room(#[case] in_flight: usize, #[case] ended: bool, #[case] copies: usize) {
+    let (mut balancer, diary) = balancer(Effect::Redoable, 2);
+    balancer.upstreams.iter_mut().for_each(|upstream| upstream.in_flight = in_flight);
+    let mut overdue = ticket(&[0], true);
+    overdue.dispatches[0].out = !ended;
+    balancer.patience_ran_out(START_AT + 100 * MS, overdue, 0);
+    assert_eq!(diary.count("dispatch"), copies);
+    // Looked at again soon, as a place may be free then.
+    assert_eq!(diary.count("wake 10000"), usize::from(in_flight > 0));
+}
+
 #[rstest]
 #[case::helpful(40.0, true)]
 #[case::useless(0.0, false)]
--- a/src/known.rs
+++ b/src/known.rs
@@ -24,8 +24,11 @@
     pub(crate) ready: bool,
     pub(crate) weight: Mean,
     pub(crate) launched: Micros,
+    /// Dispatches that are out, less those overdue.
     pub(crate) in_flight: usize,
     pub(crate) work_in_flight: f64,
+    /// When those overdue were sent, as far as nothing sent later has succeeded.
+    pub(crate) overdue: Vec<Micros>,
     pub(crate) answers: Mean,
     pub(crate) lasting_answers: Mean,
     pub(crate) shortest: Option<f64>,
@@ -57,10 +60,17 @@
     pub(crate) upstream: usize,
     pub(crate) sent: Micros,
     pub(crate) out: bool,
+    pub(crate) overdue: bool,
     pub(crate) may_have_run: bool,
     pub(crate) scene: Option<Scene>,
 }
 
+impl Dispatch {
+    pub(crate) fn new(upstream: usize, sent: Micros, scene: Option<Scene>) -> Self {
+        Self { upstream, sent, out: true, overdue: false, may_have_run: true, scene }
+    }
+}
+
 pub(crate) struct Ticket {
     pub(crate) id: Rc<str>,
     pub(crate) use_case: usize,
@@ -75,6 +85,20 @@
     pub(crate) dispatches: Vec<Dispatch>,
 }
 
+impl Ticket {
+    pub(crate) fn new(
+        id: Rc<str>,
+        use_case: usize,
+        promised: Micros,
+        hard_stop: Micros,
+        work: f64,
+        within_share: bool,
+    ) -> Self {
+        let (homes, streaming, dispatches) = (Vec::new(), false, Vec::new());
+        Self { id, use_case, homes, promised, hard_stop, work, within_share, streaming, dispatches }
+    }
+}
+
 /// What is known of one use case.
 #[derive(Clone, Default)]
 pub(crate) struct Pace {
@@ -113,7 +137,8 @@
     pub(crate) kinds: HashMap<u64, Mean>,
     pub(crate) tickets: HashMap<Rc<str>, Ticket>,
     pub(crate) held: Vec<Ticket>,
-    pub(crate) alarms: HashMap<u64, Rc<str>>,
+    /// Tickets to look at, and the dispatch that each was set for.
+    pub(crate) alarms: HashMap<u64, (Rc<str>, usize)>,
     pub(crate) last_alarm: u64,
     pub(crate) pump_set: bool,
     pub(crate) failed_follows: u32,
@@ -171,7 +196,28 @@
 }
 
 impl Upstream {
-    pub(crate) fn release(&mut self, work: f64) {
+    /// A dispatch is overdue: it may be lost, and what it would take up there with it.
+    pub(crate) fn miss(&mut self, dispatch: &mut Dispatch, work: f64) {
+        if !std::mem::replace(&mut dispatch.overdue, true) {
+            self.overdue.push(dispatch.sent);
+            self.release(work);
+        }
+    }
+
+    pub(crate) fn end(&mut self, dispatch: &Dispatch, work: f64) {
+        if !dispatch.overdue {
+            self.release(work);
+        } else if let Some(place) = self.overdue.iter().position(|sent| *sent == dispatch.sent) {
+            self.overdue.swap_remove(place);
+        }
+    }
+
+    /// Places taken up: one overdue dispatch may be lost, several tell that the upstream is slow.
+    pub(crate) fn places(&self) -> f64 {
+        (self.in_flight + self.overdue.len().saturating_sub(1)) as f64
+    }
+
+    fn release(&mut self, work: f64) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let left = (self.work_in_flight - work).max(0.0);
         self.work_in_flight = if self.in_flight == 0 { 0.0 } else { left };
