Overdue dispatches keep their places until overtaken; patience follows the scatter

Now an overdue dispatch takes up its place until one sent later has succeeded there, and a trial goes to a silent upstream whose places are all overdue (candidates()). Patience is three to four answer times by their scatter.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -48,8 +48,7 @@
 const STEP: f64 = 0.1;
 const CLIP: f64 = 0.2; // the paper's ε
 const EPOCHS: usize = 2;
-/// Share of the way back to the start weights at each update: odd payoffs cannot add up to a drift.
-const ANCHOR: f64 = 0.02;
+const ANCHOR: f64 = 0.02; // share of the way back to the start at each update: no drift
 const OUTCOMES_AN_UPDATE: usize = 256;
 const UPDATE_EVERY: Micros = 2_000_000;
 
@@ -69,20 +68,18 @@
 /// Suspected upstreams for each other one: the limits keep those left from being swamped.
 const MOST_OUT: usize = 3;
 /// First wait before a trial, in expected answer times, and its doublings.
-const TRIAL_WAIT: f64 = 3.0;
-const TRIAL_DOUBLINGS: u32 = 4;
+const TRIAL: (f64, u32) = (3.0, 4);
 /// A failure counts as an answer this many times as late as usual, or as late as it was.
 const FAILURE_LATENCY: f64 = 3.0;
 
-/// Patience in expected answer times before a dispatch is overdue: below `SILENT`, so another is heard first.
-const PATIENCE: f64 = 2.5;
+/// Patience in expected answer times: one and so many standard deviations, within bounds.
+const SCATTER: f64 = 3.0;
+const PATIENCE: (f64, f64) = (3.0, 4.0);
 /// Further dispatches as a share of tickets when all recent ones succeeded, and some that are always open.
-const FURTHER: f64 = 0.3;
-const FURTHER_FREE: f64 = 2.0;
+const FURTHER: (f64, f64) = (0.3, 2.0);
 
 /// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
-const QUICKER: f64 = 0.1;
-const SLOWER: f64 = 0.002;
+const FOLLOWS: (f64, f64) = (0.1, 0.002);
 /// In flight against what the shortest answer times would need, and what all may always have at an upstream.
 const STRETCH: f64 = 1.5;
 const LEAST_EACH: f64 = 2.0;
@@ -110,8 +107,7 @@
 const TIME_LEFT: f64 = 2.0;
 
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
-const COLD_MARGIN: f64 = 0.4;
-const COLD_ROUNDING: f64 = 0.5;
+const COLD: (f64, f64) = (0.4, 0.5);
 
 /// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
 const FOLLOW_WITHIN: f64 = 0.8;
@@ -370,7 +366,7 @@
             }),
         };
         let (_, spent, budget) = self.cold_budget(now, u);
-        open && again && upstream.ready && spent + ticket.work <= budget + COLD_ROUNDING
+        open && again && upstream.ready && spent + ticket.work <= budget + COLD.1
     }
 
     pub fn dispatch_ended(&mut self, now: Micros, id: &str, n: usize, last: bool, how: Ending, took: Micros) {
@@ -482,7 +478,7 @@
         let each = borne / self.lived(now) / self.reach().min(self.warm).max(1) as f64;
         let span = age / warming.span.max(1);
         let chance = mixed(mixed(self.salt, upstream.hash), span) as f64 / u64::MAX as f64;
-        let budget = COLD_MARGIN * warming.multiple * grown * each * warming.span as f64;
+        let budget = COLD.0 * warming.multiple * grown * each * warming.span as f64;
         let (spent_in, spent) = upstream.cold_spent;
         (span, if spent_in == span { spent } else { 0.0 }, (budget + chance).floor())
     }
@@ -504,11 +500,14 @@
         for u in open {
             if ready.len() >= most {
                 break;
-            } else if !self.permitted(now, ticket, u) || !self.has_room(now, u) {
+            }
+            let (suspected, up) = (self.suspect(now, u, heard, expected, usual), &self.upstreams[u]);
+            let room = self.has_room(now, u) || (suspected && up.in_flight == 0 && up.full_until <= now);
+            if !room || !self.permitted(now, ticket, u) {
                 continue;
             } else if ticket.dispatches.iter().any(|d| d.upstream == u) {
                 met.push(u);
-            } else if self.suspect(now, u, heard, expected, usual) {
+            } else if suspected {
                 out.push(u);
             } else {
                 ready.push(u);
@@ -518,7 +517,7 @@
             return (met, None);
         }
         if out.len() > MOST_OUT * ready.len() {
-            ready.extend(out);
+            ready.extend(out.into_iter().filter(|&u| self.has_room(now, u)));
             return (ready, None);
         }
         // Ties would fall to whoever comes first, again and again.
@@ -529,16 +528,15 @@
         if let Some(u) = trial {
             let scatter = 1.0 + self.chance.generate::<f64>();
             let upstream = &mut self.upstreams[u];
-            let wait = TRIAL_WAIT * expected * scatter * f64::from(1 << upstream.failed_trials);
+            let wait = TRIAL.0 * expected * scatter * f64::from(1 << upstream.failed_trials);
             upstream.trial_at = now + wait as Micros;
-            upstream.failed_trials = (upstream.failed_trials + 1).min(TRIAL_DOUBLINGS);
+            upstream.failed_trials = (upstream.failed_trials + 1).min(TRIAL.1);
         }
         (ready, trial)
     }
 
-    /// Where a key's tickets likely went before, and how likely: all balancers rank upstreams alike by key,
-    /// without speaking. The larger a key's part of the traffic, the more homes it has, of which this
-    /// balancer keeps to the first in its own order.
+    /// Where a key's tickets likely went before, and how likely: all balancers rank alike by key. The larger
+    /// its part of the traffic, the more homes it has, of which this balancer keeps to its own order's first.
     fn homes(&self, now: Micros, key: Option<u64>) -> Vec<(usize, f64)> {
         let Some(key) = key.filter(|_| self.terms.keys_kept) else { return Vec::new() };
         let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, KEY_LASTING) - KEY_ALONE;
@@ -575,7 +573,7 @@
         let enough = if upstream.suspected { FAILURES / 3.0 } else { FAILURES };
         let suspected = silent || (failed > enough && share > FAILING + (1.0 - FAILING) * usual);
         if suspected && !upstream.suspected {
-            (upstream.trial_at, upstream.failed_trials) = (now + (TRIAL_WAIT * expected) as Micros, 0);
+            (upstream.trial_at, upstream.failed_trials) = (now + (TRIAL.0 * expected) as Micros, 0);
         }
         upstream.suspected = suspected;
         suspected
@@ -585,7 +583,7 @@
     fn may_spend_more(&self, now: Micros) -> bool {
         let further = self.seen.further.read(now, LASTING);
         let succeeded = (self.seen.further_succeeded.read(now, LASTING) + 1.0) / (further + 1.0);
-        further < FURTHER_FREE + FURTHER * succeeded * self.seen.arrivals.read(now, LASTING)
+        further < FURTHER.1 + FURTHER.0 * succeeded * self.seen.arrivals.read(now, LASTING)
     }
 
     /// How long to wait for this dispatch alone, while a further one could follow in time.
@@ -593,7 +591,9 @@
         let expected = self.expected(ticket.use_case);
         let usual = expected.max(self.upstreams[u].shortest.unwrap_or(0.0)) * ticket.work.max(1.0);
         let last = ticket.promised.saturating_sub(now) as f64 - expected;
-        (PATIENCE * usual).min(if last > usual { last } else { f64::INFINITY }) as Micros
+        let patience =
+            usual * (1.0 + SCATTER * self.paces[ticket.use_case].scatter()).clamp(PATIENCE.0, PATIENCE.1);
+        patience.min(if last > usual { last } else { f64::INFINITY }) as Micros
     }
 
     /// Nothing came from a dispatch for long: it leaves its place there to one that tells whether all
@@ -625,7 +625,7 @@
         (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING)
     }
 
-    /// The span that sums over `RECENT` stand for: read as filled just after a start, queues look endless.
+    /// The span that sums over `RECENT` stand for: taken as filled, queues would look endless at first.
     fn watched(&self, now: Micros) -> f64 {
         RECENT.min(now.saturating_sub(self.started) as f64).max(RECENT / 4.0)
     }
@@ -641,7 +641,7 @@
 
     fn has_room(&self, now: Micros, u: usize) -> bool {
         let up = &self.upstreams[u];
-        up.full_until <= now && (up.in_flight == 0 || up.places() + ROUNDING < self.limit(now, u))
+        up.full_until <= now && (up.is_free() || up.places() + ROUNDING < self.limit(now, u))
     }
 
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
@@ -652,7 +652,7 @@
         held < f64::max(limit + (limit / self.terms.balancers as f64).sqrt(), LEAST_IN_ALL)
     }
 
-    /// The moment after which an answer would likely come too late to be of use.
+    /// The moment after which an answer would likely come too late.
     fn last_start(&self, ticket: &Ticket) -> Micros {
         let needed = TIME_LEFT * self.expected(ticket.use_case) * ticket.work.max(1.0);
         ticket.promised.min(ticket.hard_stop.saturating_sub(PUMP_EVERY)).saturating_sub(needed as Micros)
@@ -768,6 +768,7 @@
             self.seen.succeeded.add(now, RECENT, 1.0);
             pace.present.add(now, RECENT, took, ticket.work);
             pace.lasting.add(now, LASTING, took, ticket.work);
+            pace.squares.add(now, LASTING, took * took, ticket.work);
             self.seen.answers.add(now, LASTING, took, ticket.work);
             if !cold {
                 self.seen.served.add(now, LASTING, ticket.work);
@@ -856,7 +857,7 @@
 
 fn follow_shortest(shortest: &mut Option<f64>, mean: f64) {
     let shortest = shortest.get_or_insert(mean);
-    *shortest += if mean < *shortest { QUICKER } else { SLOWER } * (mean - *shortest);
+    *shortest += if mean < *shortest { FOLLOWS.0 } else { FOLLOWS.1 } * (mean - *shortest);
 }
 
 /// How many of the candidates may be drawn: all but the worst quarter, as the candidates themselves are few.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -299,27 +299,45 @@
 }
 
 #[rstest]
-fn an_overdue_dispatch_leaves_its_place_to_another() {
-    let (mut balancer, _) = balancer(Effect::Irreversible, 1);
-    arrive(&mut balancer, START_AT, "a");
-    assert!(!balancer.has_room(START_AT, 0));
-    balancer.alarm_rang(START_AT + 300 * MS, balancer.last_alarm);
-    assert!(balancer.has_room(START_AT + 300 * MS, 0));
-    balancer.dispatch_ended(START_AT + 301 * MS, "a", 0, true, Ending::Succeeded, 301 * MS);
-    assert_eq!((balancer.upstreams[0].in_flight, balancer.upstreams[0].overdue.len()), (0, 0));
-}
-
-#[rstest]
-#[case::overtaken(10, 1.0)]
-#[case::only_slow(-10, 2.0)]
-fn overdue_dispatches_take_places_until_a_later_one_succeeds(#[case] later: i64, #[case] places: f64) {
+#[case::overtaken(10, 0)]
+#[case::only_slow(-10, 2)]
+fn overdue_dispatches_take_places_until_a_later_one_succeeds(#[case] later: i64, #[case] left: usize) {
     let (mut balancer, _) = balancer(Effect::Redoable, 1);
-    balancer.upstreams[0].overdue = vec![START_AT, START_AT + 1];
-    balancer.upstreams[0].in_flight = 2;
+    balancer.upstreams[0].in_flight = 3;
+    for n in 0..2 {
+        let mut overdue = ticket(&[0], true);
+        (overdue.dispatches[0].out, overdue.dispatches[0].sent) = (true, START_AT + n);
+        balancer.patience_ran_out(START_AT + 100 * MS, overdue, 0);
+    }
+    assert_eq!(balancer.upstreams[0].places(), 3.0);
     let mut sent = ticket(&[0], true);
     (sent.dispatches[0].out, sent.dispatches[0].sent) = (true, START_AT.saturating_add_signed(later));
     balancer.ended(START_AT + 100 * MS, &mut sent, 0, Ending::Succeeded, 20 * MS);
-    assert_eq!(balancer.upstreams[0].places(), places);
+    assert_eq!(balancer.upstreams[0].places(), left as f64);
+}
+
+#[rstest]
+fn a_trial_goes_where_overdue_dispatches_take_all_places() {
+    let (mut balancer, diary) = balancer(Effect::Redoable, 4);
+    balancer.upstreams[2].overdue = vec![START_AT; 9];
+    balancer.upstreams[2].unanswered_since = Some(START_AT);
+    balancer.candidates(START_AT + 500 * MS, &ticket(&[], false));
+    assert!(balancer.place(START_AT + 900 * MS, &mut ticket(&[], false)));
+    assert_eq!((diary.count("dispatch t u2"), balancer.has_room(START_AT + 900 * MS, 2)), (1, false));
+}
+
+#[rstest]
+#[case::alike(10.0, 3.0)]
+#[case::scattered(100.0, 4.0)]
+fn patience_follows_the_scatter_of_answer_times(#[case] off: f64, #[case] expected: f64) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 1);
+    for took in [100.0 - off, 100.0 + off].map(|took| 100.0 * took) {
+        let pace = &mut balancer.paces[0];
+        pace.present.add(START_AT, RECENT, took, 1.0);
+        pace.lasting.add(START_AT, LASTING, took, 1.0);
+        pace.squares.add(START_AT, LASTING, took * took, 1.0);
+    }
+    assert_eq!(balancer.patience(START_AT, &ticket(&[], false), 0), (10_000.0 * expected) as Micros);
 }
 
 #[rstest]
--- a/src/known.rs
+++ b/src/known.rs
@@ -104,10 +104,20 @@
 pub(crate) struct Pace {
     pub(crate) present: Mean,
     pub(crate) lasting: Mean,
+    /// Squares of what `lasting` holds.
+    pub(crate) squares: Mean,
     pub(crate) shortest: Option<f64>,
     pub(crate) hint: Mean,
 }
 
+impl Pace {
+    /// Standard deviation of answer times over their mean; where none is known, as wide as may be.
+    pub(crate) fn scatter(&self) -> f64 {
+        let known = self.squares.read().zip(self.lasting.read());
+        known.map_or(f64::INFINITY, |(squares, mean)| (squares / (mean * mean) - 1.0).max(0.0).sqrt())
+    }
+}
+
 /// What is seen of the fleet and of the traffic as a whole.
 #[derive(Default)]
 pub(crate) struct Seen {
@@ -212,9 +222,13 @@
         }
     }
 
+    pub(crate) fn is_free(&self) -> bool {
+        self.in_flight == 0 && self.overdue.is_empty()
+    }
+
     /// Places taken up: one overdue dispatch may be lost, several tell that the upstream is slow.
     pub(crate) fn places(&self) -> f64 {
-        (self.in_flight + self.overdue.len().saturating_sub(1)) as f64
+        (self.in_flight + self.overdue.len()) as f64
     }
 
     fn release(&mut self, work: f64) {
