Clients that stand idle or bring no ticket give way; a first restart clears old failures

Connections that say nothing or half a request were held for 120 and 10 s, where an error or a close is owed within 3 s. Now they have 2.3 s since connecting; standing ones 2.1 s where many stand. What is read away after a last answer is bounded in bytes too.

--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -53,6 +53,13 @@
     /// The ticket's sender wants no further one on this connection.
     pub last: bool,
     pub answered: u64,
+    /// When it was opened, and how many tickets it has brought.
+    pub opened: Micros,
+    pub tickets: u64,
+    /// Its deadline is about a request of which part is here.
+    pub partial: bool,
+    /// Bytes read away since our sending was over.
+    pub read_away: usize,
     /// Why it ends once all is written.
     pub ending: Option<&'static str>,
     /// Our sending is over; what still comes is read away, or it would break the answer's last bytes.
--- a/node/src/wire/accepting.rs
+++ b/node/src/wire/accepting.rs
@@ -13,7 +13,6 @@
 use crate::memory::buffers::{Inbox, Outbox, ready};
 use crate::memory::deadlines::Due;
 use crate::memory::desk::{Client, Desk, Wired};
-use crate::wire::clients::IDLE_MOST;
 
 #[cfg(test)]
 mod tests;
@@ -79,6 +78,10 @@
                     ticket: None,
                     last: false,
                     answered: 0,
+                    opened: self.clock.now(),
+                    tickets: 0,
+                    partial: false,
+                    read_away: 0,
                     ending: None,
                     lingers: false,
                     continued: false,
@@ -90,7 +93,7 @@
         match made {
             Ok(slot) => {
                 self.counters.clients_accepted += 1;
-                self.client_waits(slot, IDLE_MOST);
+                self.client_stands(slot);
             }
             Err(problem) => {
                 self.counters.accepts_failed += 1;
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -19,10 +19,18 @@
 
 /// How long a request may be under way, and an answer before the client has taken it all.
 const SLOW_AFTER: Micros = 10_000_000;
+/// How long after connecting the first ticket may take to be here whole: clients that open a connection have
+/// something to send, and whoever has sent none by then is a bad client or none at all.
+pub const FIRST_WITHIN: Micros = 2_300_000;
 /// How long a connection may stand between tickets: a client that vanished says nothing.
-pub const IDLE_MOST: Micros = 120_000_000;
-/// How long we read away what a client still sends after our last answer.
+const IDLE_MOST: Micros = 120_000_000;
+/// How long it may stand at the least. Where many stand, those that want to send need the room.
+const IDLE_LEAST: Micros = 2_100_000;
+/// Part of the connections that we take from which on many stand.
+const MANY: f64 = 0.3;
+/// How long and how much we read away of what a client still sends after our last answer.
 const LINGER: Micros = 1_000_000;
+const LINGER_BYTES: usize = 1024 * 1024;
 /// Read while the client's ticket is open or its answer not taken: enough to see it leave, and no second
 /// message is kept beside the first.
 const READ_AHEAD: usize = 4 * 1024;
@@ -68,10 +76,16 @@
         if !client.outbox.is_empty() {
             return desk.end_client(slot, reasons::SLOW_READER);
         }
-        if client.inbox.kept().is_empty() {
+        if !client.inbox.kept().is_empty() {
+            return desk.turn_off(slot, 408, reasons::SLOW_SENDER);
+        }
+        let (since, fresh) = (client.since, client.tickets == 0);
+        let stood = desk.clock.now().saturating_sub(since);
+        let many = desk.clients.len() as f64 >= MANY * desk.place.clients_most as f64;
+        if fresh || stood >= IDLE_MOST || (many && stood >= IDLE_LEAST) {
             return desk.end_client(slot, reasons::CLIENT_IDLE);
         }
-        desk.turn_off(slot, 408, reasons::SLOW_SENDER);
+        desk.look_again(slot);
     }
 }
 
@@ -90,7 +104,11 @@
             return Look::Gone(reasons::CLIENT_RESET);
         }
         if client.lingers {
+            client.read_away += client.inbox.kept().len();
             client.inbox.forget();
+            if client.read_away >= LINGER_BYTES {
+                return Look::Gone(client_reason(client));
+            }
         }
         let waits = client.is_owed();
         let most = if waits { READ_AHEAD } else { MESSAGE_MOST };
@@ -132,12 +150,37 @@
         }
     }
 
+    /// A connection stands between tickets from now on. One that has brought none yet has no time but that
+    /// since it was opened.
+    pub fn client_stands(&mut self, slot: ClientSlot) {
+        let now = self.clock.now();
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        client.since = now;
+        if client.tickets == 0 {
+            let at = client.opened + FIRST_WITHIN;
+            self.deadlines.move_to(&mut client.due, at, Due::Client(slot));
+        } else {
+            self.look_again(slot);
+        }
+    }
+
+    /// Whether it may go on standing is seen when the least time is over, and then again and again.
+    fn look_again(&mut self, slot: ClientSlot) {
+        let at = self.clock.now() + IDLE_LEAST;
+        if let Some(client) = self.clients.get_mut(slot) {
+            self.deadlines.move_to(&mut client.due, at, Due::Client(slot));
+        }
+    }
+
     /// Part of a request is here: from its first bytes on its time runs, however it trickles in.
     pub fn wait_for_rest(&mut self, slot: ClientSlot) {
-        let by = self.clock.now() + SLOW_AFTER;
-        let waits = self.clients.get(slot).and_then(|client| client.due);
-        if waits.is_none_or(|waits| waits.0 > by) {
-            self.client_waits(slot, SLOW_AFTER);
+        let now = self.clock.now();
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        let by = if client.tickets == 0 { client.opened + FIRST_WITHIN } else { now + SLOW_AFTER };
+        // What a look at a standing connection was hung for is over.
+        if !std::mem::replace(&mut client.partial, true) {
+            client.since = now;
+            self.deadlines.move_to(&mut client.due, by, Due::Client(slot));
         }
     }
 
@@ -166,7 +209,7 @@
         // A broken connection shows itself when it is next read.
         let _ = client.outbox.drain(&client.wired.stream);
         match client.outbox.is_empty() {
-            true => self.client_waits(slot, IDLE_MOST),
+            true => self.client_stands(slot),
             false => self.client_waits(slot, SLOW_AFTER),
         }
         self.settle(slot);
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -113,17 +113,71 @@
 fn a_body_far_too_long_is_read_away_so_that_its_answer_arrives() {
     let mut stand = Stand::new();
     let (client, _) = stand.client();
-    say(&client, &message("t1", "").replace("Length: 0", "Length: 4000000"));
+    say(&client, &message("t1", "").replace("Length: 0", "Length: 700000"));
     let mut sender = client.try_clone().unwrap();
     let (part, mut sent) = (vec![b'x'; 100_000], 0);
     stand.until(|_| {
         sent += std::io::Write::write(&mut sender, &part).unwrap_or(0);
-        (sent >= 4_000_000).then_some(())
+        (sent >= 700_000).then_some(())
     });
     assert!(stand.heard(&client, "\r\n\r\n").starts_with("HTTP/1.1 413 "));
     drop((client, sender));
 }
 
+#[test]
+fn a_body_without_end_is_not_read_away_for_long() {
+    let mut stand = Stand::new();
+    let (client, slot) = stand.client();
+    say(&client, &message("t1", "").replace("Length: 0", "Length: 60000000"));
+    let part = vec![b'x'; 100_000];
+    stand.until(|node| {
+        _ = std::io::Write::write(&mut &client, &part);
+        node.desk.borrow().clients.get(slot).is_none().then_some(())
+    });
+}
+
+#[rstest]
+#[case::nothing("", 1)]
+#[case::part_of_a_request("POST /pay", 1)]
+#[case::what_is_turned_away("POST /pay HTTP/1.1\r\n\r\n", 2)]
+fn without_a_ticket_a_connection_has_no_time_but_that_since_it_was_opened(
+    #[case] sent: &str,
+    #[case] hung: usize,
+) {
+    let mut stand = Stand::new();
+    let (client, slot) = stand.client();
+    say(&client, sent);
+    let seen = |client: &Client| client.partial || client.answered > 0 || sent.is_empty();
+    stand.until(|node| seen(&node.desk.borrow().clients[slot]).then_some(()));
+    let desk = stand.node.desk.borrow();
+    let (due, opened) = (desk.clients[slot].due.unwrap().0, desk.clients[slot].opened);
+    assert!(due <= opened + FIRST_WITHIN && due + 1_000 * hung as u64 > opened + FIRST_WITHIN, "{due}");
+}
+
+#[rstest]
+#[case::few_stand(10, 1, IDLE_LEAST, true)]
+#[case::many_stand(1, 1, IDLE_LEAST, false)]
+#[case::many_but_only_just(1, 1, IDLE_LEAST / 2, true)]
+#[case::for_long(10, 1, IDLE_MOST, false)]
+#[case::never_brought_a_ticket(10, 0, FIRST_WITHIN, false)]
+fn a_standing_connection_goes_where_many_stand(
+    #[case] most: usize,
+    #[case] tickets: u64,
+    #[case] stood: Micros,
+    #[case] stays: bool,
+) {
+    let mut stand = Stand::new();
+    let (_client, slot) = stand.client();
+    {
+        let mut desk = stand.node.desk.borrow_mut();
+        desk.place.clients_most = most;
+        let now = desk.now();
+        (desk.clients[slot].tickets, desk.clients[slot].since) = (tickets, now - stood);
+    }
+    stand.node.client_due(slot);
+    assert_eq!(stand.node.desk.borrow().clients.get(slot).is_some_and(|client| client.due.is_some()), stays);
+}
+
 #[test]
 fn a_client_that_leaves_has_its_dispatch_called_off() {
     let mut stand = Stand::new();
@@ -166,8 +220,8 @@
     let mut stand = Stand::new();
     let (client, slot) = stand.client();
     say(&client, "POST /pay");
-    let idle_by = stand.node.desk.borrow().now() + 2 * SLOW_AFTER;
-    let first = stand.until(|node| node.desk.borrow().clients[slot].due.filter(|due| due.0 <= idle_by));
+    let part = |client: &Client| client.due.filter(|_| client.partial);
+    let first = stand.until(|node| part(&node.desk.borrow().clients[slot]));
     say(&client, "/1 HTTP/1.1\r\n");
     stand.until(|node| (node.desk.borrow().clients[slot].inbox.kept().len() > 9).then_some(()));
     assert_eq!(stand.node.desk.borrow().clients[slot].due, Some(first));
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -48,7 +48,7 @@
             }
         };
         let message = client.inbox.take(end);
-        client.continued = false;
+        (client.continued, client.partial) = (false, false);
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
         let mut asked = Request::new(&mut fields);
         let (Ok(_), Some(method), Some(target)) = (asked.parse(&message[..head]), asked.method, asked.path)
@@ -126,6 +126,7 @@
         self.counters.tickets_taken += 1;
         if let Some(client) = self.clients.get_mut(slot) {
             client.ticket = Some(ticket);
+            client.tickets += 1;
             self.deadlines.clear(&mut client.due);
         }
         id
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -164,11 +164,11 @@
         }
         let upstream = &mut self.upstreams[at];
         (upstream.zone, upstream.kind, upstream.cell, upstream.ready) = (zone, kind, cell, true);
-        if launched > upstream.launched && upstream.launched > 0 {
+        if launched > upstream.launched && at < new {
             // A new process has nothing to do with what was held against the old one.
             upstream.answers = Mean::default();
             upstream.failed = Fading::default();
-            upstream.unanswered_since = None;
+            (upstream.unanswered_since, upstream.suspected, upstream.full_until) = (None, false, 0);
         }
         upstream.launched = launched;
         // Weights may be late readings, alike at all balancers: following each they would swing together.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -538,3 +538,13 @@
     let waits: Vec<Micros> = waits.iter().filter_map(|act| act.strip_prefix("wake ")?.parse().ok()).collect();
     assert!(waits[0] < waits[4] && waits.iter().all(|&wait| wait > 50 * MS && wait <= 2_000 * MS));
 }
+
+#[rstest]
+#[case::restarted(START_AT, 0.0)]
+#[case::as_it_was(0, 50.0)]
+fn a_restart_clears_what_was_held_against_an_upstream(#[case] launched: Micros, #[case] failed: f64) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 1);
+    balancer.upstreams[0].failed.add(START_AT, RECENT, 50.0);
+    balancer.list_entry("u0", 0, 0, 0, 1.0, launched);
+    assert_eq!(balancer.upstreams[0].failed.read(START_AT, RECENT), failed);
+}
