Connections rest 1 ms after an answer; unread load reports tell nothing; stricter heads

Heads with bare line feeds and HTTP/1.0 with chunks were passed on, as httparse takes both. 1xx answers were read over without bound. Where second copies are not allowed, the module never heard of a dispatch that it had called off, and the ticket stayed unanswered (hands.rs).

--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -94,6 +94,8 @@
     pub outbox: Outbox,
     pub errand: Option<Errand>,
     pub carried: u64,
+    /// When its last answer was whole.
+    pub answered: Micros,
     pub due: Option<deadlines::Place>,
 }
 
--- a/node/src/wire/answers.rs
+++ b/node/src/wire/answers.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 use std::rc::Rc;
 
-use httparse::{Response, Status};
+use httparse::{Header, Response, Status};
 use pinefront::Ending;
 
 use crate::life::reasons;
@@ -16,6 +16,9 @@
 #[cfg(test)]
 mod tests;
 
+/// Most words of an answer to come that are read over at once: a server that says nothing else never answers.
+const WORDS_MOST: usize = 16;
+
 impl Node {
     pub fn take_answer(
         &mut self,
@@ -46,7 +49,7 @@
             _ => Ending::Failed,
         };
         let load = match desk.place.loads_told {
-            true => heads::field(response.headers, "x-pressure").map(load),
+            true => load(response.headers),
             false => None,
         };
         link.carried += 1;
@@ -78,7 +81,7 @@
 
 /// The whole answer at the front of an inbox; `Nothing` while part is missing, none for nonsense.
 pub fn whole_answer(inbox: &mut Inbox, ended: bool) -> Option<Look> {
-    loop {
+    for _ in 0..=WORDS_MOST {
         let kept = inbox.kept();
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
         let mut response = Response::new(&mut fields);
@@ -111,10 +114,18 @@
             Body::Partial | Body::TooLong | Body::Nonsense => None,
         };
     }
+    None
+}
+
+/// What an upstream tells of its load: how busy it is, and its queue or else what it holds. A report that can't be
+/// read tells nothing, not that there is no load.
+fn load(fields: &[Header]) -> Option<(Option<f64>, Option<f64>)> {
+    let reports = fields.iter().filter(|field| field.name.eq_ignore_ascii_case("x-pressure"));
+    let texts = reports.filter_map(|field| std::str::from_utf8(field.value).ok());
+    texts.map(figures).find(|told| *told != (None, None))
 }
 
-/// What an upstream tells of its load: how busy it is, and its queue or else what it holds.
-fn load(text: &str) -> (Option<f64>, Option<f64>) {
+fn figures(text: &str) -> (Option<f64>, Option<f64>) {
     let (mut busy, mut queue, mut held) = (None, None, None);
     for part in text.strip_prefix("TEXT").unwrap_or(text).split(',') {
         let Some((name, value)) = part.split_once('=') else { continue };
--- a/node/src/wire/answers/tests.rs
+++ b/node/src/wire/answers/tests.rs
@@ -9,5 +9,17 @@
 #[case("TEXT util=NaN, queue=inf", (None, None))]
 #[case("nonsense", (None, None))]
 fn loads_are_read_as_far_as_they_can_be(#[case] text: &str, #[case] expected: (Option<f64>, Option<f64>)) {
-    assert_eq!(load(text), expected);
+    assert_eq!(figures(text), expected);
+}
+
+#[rstest]
+#[case::none(&[], None)]
+#[case::what_cannot_be_read_tells_nothing(&["%%%"], None)]
+#[case::behind_what_cannot_be_read(&["{", "TEXT util=0.5"], Some((Some(0.5), None)))]
+fn the_report_that_can_be_read_counts(
+    #[case] texts: &[&'static str],
+    #[case] expected: Option<(Option<f64>, Option<f64>)>,
+) {
+    let field = |text: &&'static str| Header { name: "X-Pressure", value: text.as_bytes() };
+    assert_eq!(load(&texts.iter().map(field).collect::<Vec<_>>()), expected);
 }
--- a/node/src/wire/hands.rs
+++ b/node/src/wire/hands.rs
@@ -17,10 +17,19 @@
     /// Calling off closes the connection: the upstream sees that nobody waits.
     fn call_off(&mut self, ticket: &str, dispatch: usize) {
         let mut desk = self.0.borrow_mut();
-        let ticket = desk.by_id.get(ticket).and_then(|slot| desk.tickets.get(*slot));
-        if let Some(link) = ticket.and_then(|ticket| ticket.dispatches.get(dispatch).copied().flatten()) {
-            desk.count_ending(Ending::CalledOff);
+        let Some(slot) = desk.by_id.get(ticket).copied() else { return };
+        let Some(ticket) = desk.tickets.get(slot) else { return };
+        let waits = ticket.client.is_some();
+        if let Some(link) = ticket.dispatches.get(dispatch).copied().flatten() {
             desk.end_link(link, reasons::CALLED_OFF);
+            match waits {
+                // The module has yet to hear of it, or the ticket would never be answered.
+                true => {
+                    let now = desk.now();
+                    _ = desk.deadlines.hang(now, Due::Unsent(slot, dispatch, Ending::CalledOff));
+                }
+                false => desk.count_ending(Ending::CalledOff),
+            }
         }
     }
 
--- a/node/src/wire/heads.rs
+++ b/node/src/wire/heads.rs
@@ -84,6 +84,11 @@
     Ok(found)
 }
 
+/// Whether every line of a head ends as it must: others may take a bare line feed for part of a line.
+pub fn lines_end(head: &[u8]) -> bool {
+    head.iter().enumerate().all(|(place, byte)| *byte != b'\n' || (place > 0 && head[place - 1] == b'\r'))
+}
+
 /// The body that starts at `from`; `ended` tells that nothing more will come.
 pub fn body(bytes: &[u8], from: usize, framing: Framing, ended: bool, most: usize) -> Body {
     match framing {
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -75,7 +75,7 @@
         let (Some(id), Some(wait)) = (id, wait) else {
             return desk.reject(slot, 400);
         };
-        if labelled && heads::field(fields, "idempotency-key").is_none_or(str::is_empty) {
+        if labelled && heads::only_field(fields, "idempotency-key").is_none_or(str::is_empty) {
             return desk.reject(slot, 400);
         }
         if desk.by_id.contains_key(id) {
@@ -171,8 +171,13 @@
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err((431, reasons::HEAD_TOO_LARGE)),
         Err(_) => return Err((400, reasons::MALFORMED)),
     };
+    if !heads::lines_end(&kept[..head]) {
+        return Err((400, reasons::MALFORMED));
+    }
     let framing = match heads::framing(asked.headers) {
         Ok(Framing::Unsaid) => Framing::Length(0),
+        // HTTP/1.0 knows no chunks: others would read this body otherwise.
+        Ok(Framing::Chunked) if asked.version == Some(0) => return Err((400, reasons::MALFORMED)),
         Ok(framing) => framing,
         Err(Conflicting) => return Err((400, reasons::MALFORMED)),
     };
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -24,6 +24,10 @@
 /// that the upstream is closing would end broken.
 const IDLE_PART: f64 = 0.8;
 
+/// How long a connection rests after an answer: what else its upstream sends behind it, or its close, is seen
+/// before another ticket is written to it and takes that for its answer.
+const REST: Micros = 1_000;
+
 /// How often the log tells of a want of descriptors.
 const SHORTAGE_TOLD_APART: Micros = 1_000_000;
 
@@ -99,9 +103,14 @@
 }
 
 impl Desk {
-    /// The connection to an upstream that was used last, or a new one.
+    /// The connection to an upstream that was used last, of those that have rested, or a new one.
     pub fn link_to(&mut self, upstream: UpstreamSlot) -> Result<LinkSlot, Ending> {
-        while let Some(slot) = self.upstreams.get_mut(upstream).and_then(|upstream| upstream.idle.pop()) {
+        let now = self.now();
+        while let Some(slot) = self.upstreams.get_mut(upstream).and_then(|upstream| {
+            let rested =
+                |slot: &LinkSlot| self.links.get(*slot).is_none_or(|link| link.answered + REST <= now);
+            upstream.idle.iter().rposition(rested).map(|place| upstream.idle.remove(place))
+        }) {
             let Some(link) = self.links.get(slot) else { continue };
             match link.wired.stream.peek(&mut [0]) {
                 Err(problem) if problem.kind() == ErrorKind::WouldBlock => return Ok(slot),
@@ -127,6 +136,7 @@
                     outbox,
                     errand: None,
                     carried: 0,
+                    answered: 0,
                     due: None,
                 })
             })
@@ -190,8 +200,10 @@
 
     /// Keeps a connection for the next ticket.
     pub fn shelve(&mut self, slot: LinkSlot) {
-        let until = self.now() + (self.place.idle as f64 * IDLE_PART) as Micros;
-        let Some(link) = self.links.get(slot) else { return };
+        let now = self.now();
+        let until = now + (self.place.idle as f64 * IDLE_PART) as Micros;
+        let Some(link) = self.links.get_mut(slot) else { return };
+        link.answered = now;
         match self.upstreams.get_mut(link.upstream) {
             Some(upstream) if upstream.drains.is_none() => {
                 upstream.idle.push(slot);
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -34,6 +34,7 @@
 #[case::turned_away_error("500 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", "failed 1", 1)]
 #[case::closing("500 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "failed 1", 0)]
 #[case::word_before("100 Continue\r\n\r\nHTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "failed 1", 1)]
+#[case::words_without_end(&"100 Continue\r\n\r\nHTTP/1.1 ".repeat(20), "failed 1", 0)]
 #[case::more_than_asked("500 No\r\nContent-Length: 0\r\n\r\nmore", "failed 1", 0)]
 #[case::nonsense("two hundred\r\n\r\n", "failed 1", 0)]
 #[case::switching("101 Other\r\n\r\n", "failed 1", 0)]
@@ -122,6 +123,8 @@
         let before = stand.node.desk.borrow().counters.dispatches_failed;
         stand.until(|node| (node.desk.borrow().counters.dispatches_failed > before).then_some(()));
     }
+    // Both have rested.
+    stand.node.desk.borrow_mut().links.values_mut().for_each(|link| link.answered = 0);
     let _third = stand.dispatched("t3", "s1", LONG);
     stand.heard(&first, "body");
     assert_eq!(stand.node.desk.borrow().counters.links_reused, 1);
@@ -286,3 +289,40 @@
     let desk = stand.node.desk.borrow();
     assert_eq!((desk.counters.links_short, desk.shortage_told), (2, told));
 }
+
+#[rstest]
+#[case::at_once(0, 2)]
+#[case::rested(REST, 1)]
+fn a_connection_rests_after_an_answer(#[case] since: Micros, #[case] links: usize) {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let _client = stand.dispatched("t1", "s1", LONG);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    ended(&mut stand);
+    {
+        let mut desk = stand.node.desk.borrow_mut();
+        let slot = desk.links.keys().next().unwrap();
+        // However slow a test is, the answer came just now.
+        desk.links[slot].answered = if since == 0 { Micros::MAX - REST } else { desk.now() - since };
+        let upstream = desk.by_name["s1"];
+        desk.link_to(upstream).unwrap();
+    }
+    assert_eq!(stand.node.desk.borrow().links.len(), links);
+}
+
+#[rstest]
+#[case::waited_for(true, "called_off 1")]
+#[case::answered(false, "called_off 1")]
+fn the_module_hears_of_what_it_called_off_for_a_ticket_that_waits(#[case] waits: bool, #[case] heard: &str) {
+    let mut stand = Stand::new();
+    let _upstream = stand.upstream("s1");
+    let (_client, ticket) = stand.dispatched("t1", "s1", LONG);
+    if !waits {
+        stand.node.desk.borrow_mut().tickets[ticket].client = None;
+    }
+    Hands(stand.node.desk.clone()).call_off("t1", 0);
+    let hung = stand.node.desk.borrow().counters.dispatches_called_off == 0;
+    assert_eq!((hung, ended(&mut stand).as_str()), (waits, heard));
+}
