Clients' messages are kept within the memory told; upstreams that left are forgotten

Now a quarter of the memory is for messages, counted in inboxes and open tickets; what left goes with its last connection, in the module after a minute.

--- a/node/src/life/place.rs
+++ b/node/src/life/place.rs
@@ -15,6 +15,11 @@
 const KEPT_BACK: u64 = 24;
 /// Part of the other descriptors for clients: several may wait for each that is with an upstream.
 const CLIENTS_PART: f64 = 0.6;
+/// Part of the memory for what clients send: buffers may take twice what they hold, and answers take the like.
+const MESSAGES_PART: u64 = 4;
+const MEBIBYTE: u64 = 1024 * 1024;
+/// Zones and machine types told apart: names beyond them, which only a broken list has, count as one.
+const NAMES_MOST: usize = 64;
 /// Fewest descriptors that serve anybody.
 const FEWEST: u64 = 64;
 
@@ -26,6 +31,8 @@
     pub seed: u64,
     pub clients_most: usize,
     pub links_most: usize,
+    /// Bytes of clients' messages that may be kept, where a limit on memory is told.
+    pub messages_most: usize,
     pub use_cases: Vec<String>,
     pub effects: Vec<Effect>,
     pub accounts: Vec<String>,
@@ -65,6 +72,10 @@
             Some(limits) => optional(limits, "sockets", Value::as_u64)?.unwrap_or(most_open),
             None => most_open,
         };
+        let memory = match optional(told, "limits", Some)? {
+            Some(limits) => optional(limits, "memory_mb", Value::as_u64)?,
+            None => None,
+        };
         let open = limit.min(most_open);
         if open < FEWEST {
             return Err(format!("field 'sockets' is {open}, and {FEWEST} are the fewest to serve with"));
@@ -87,6 +98,8 @@
             seed: u64::from_str_radix(seed, 16).map_err(|_| "field 'seed' is no hexadecimal number")?,
             clients_most,
             links_most: room - clients_most,
+            messages_most: memory
+                .map_or(usize::MAX, |mb| (mb.saturating_mul(MEBIBYTE) / MESSAGES_PART) as usize),
             use_cases: names(settings, "useCases")?,
             effects: terms.use_cases.iter().map(|use_case| use_case.effect).collect(),
             accounts: match optional(settings, "accounts", Value::as_array)? {
@@ -107,6 +120,9 @@
 
 fn numbered(names: &mut Vec<String>, name: &str) -> u64 {
     let at = names.iter().position(|known| known == name).unwrap_or_else(|| {
+        if names.len() >= NAMES_MOST {
+            return NAMES_MOST;
+        }
         names.push(name.to_owned());
         names.len() - 1
     });
--- a/node/src/life/place/tests.rs
+++ b/node/src/life/place/tests.rs
@@ -38,3 +38,12 @@
     assert!(place.clients_most + place.links_most + KEPT_BACK as usize <= least);
     assert!(place.links_most > least / 4);
 }
+
+#[rstest]
+#[case::told(json!(32), 8 * 1024 * 1024)]
+#[case::not_told(json!(null), usize::MAX)]
+fn messages_take_a_part_of_the_memory(#[case] memory: Value, #[case] most: usize) {
+    let mut told = told("127.0.0.1:1", "127.0.0.1:2");
+    told["limits"]["memory_mb"] = memory;
+    assert_eq!(decoded(&told, &Variables::new(), 1024).unwrap().messages_most, most);
+}
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -58,6 +58,8 @@
     pub tickets: u64,
     /// Its deadline is about a request of which part is here.
     pub partial: bool,
+    /// Bytes in the inbox when last counted.
+    pub kept: usize,
     /// Bytes read away since our sending was over.
     pub read_away: usize,
     /// Why it ends once all is written.
@@ -119,6 +121,8 @@
     /// The head names a host; the method is one that has a body, even an empty one.
     pub has_host: bool,
     pub has_body: bool,
+    /// Bytes of the message.
+    pub length: usize,
     pub dispatches: Vec<Option<LinkSlot>>,
 }
 
@@ -132,6 +136,8 @@
     pub links: SlotMap<LinkSlot, Link>,
     pub tickets: SlotMap<TicketSlot, Ticket>,
     pub by_id: HashMap<Rc<str>, TicketSlot>,
+    /// Bytes of clients' messages that are kept, in inboxes and in tickets.
+    pub kept: usize,
     pub upstreams: SlotMap<UpstreamSlot, Upstream>,
     pub by_name: HashMap<Rc<str>, UpstreamSlot>,
     pub roster: Roster,
@@ -149,6 +155,13 @@
         self.clock.now()
     }
 
+    /// Brings the count of what is kept up to a client's inbox.
+    pub fn count_kept(&mut self, slot: ClientSlot) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        let kept = client.inbox.kept().len();
+        self.kept = self.kept + kept - std::mem::replace(&mut client.kept, kept);
+    }
+
     /// Takes the client from a ticket: from here on nobody waits for its answer.
     pub fn release(&mut self, slot: TicketSlot) -> Option<(Rc<str>, ClientSlot)> {
         let ticket = self.tickets.get_mut(slot)?;
@@ -178,6 +191,7 @@
             && let Some(ticket) = self.tickets.remove(slot)
         {
             self.by_id.remove(&ticket.id);
+            self.kept -= ticket.length;
         }
     }
 
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -33,12 +33,17 @@
 const LINGER_BYTES: usize = 1024 * 1024;
 /// Read while the client's ticket is open or its answer not taken: enough to see it leave, and no second
 /// message is kept beside the first.
-const READ_AHEAD: usize = 4 * 1024;
+pub const READ_AHEAD: usize = 4 * 1024;
 
 impl Node {
     /// Something may be read from or written to a client's connection.
     pub fn client_ready(&mut self, slot: ClientSlot) {
-        let looked = self.desk.borrow_mut().look(slot);
+        let looked = {
+            let mut desk = self.desk.borrow_mut();
+            let looked = desk.look(slot);
+            desk.count_kept(slot);
+            looked
+        };
         match looked {
             Look::Nothing => {}
             Look::Gone(reason) => self.client_gone(slot, reason),
@@ -269,6 +274,7 @@
 
     pub fn end_client(&mut self, slot: ClientSlot, reason: &'static str) {
         let Some(mut client) = self.clients.remove(slot) else { return };
+        self.kept -= client.kept;
         self.deadlines.clear(&mut client.due);
         self.handle.remove(client.wired.token);
         self.counters.clients_ended += 1;
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -267,3 +267,40 @@
     );
     stand.ends(&client);
 }
+
+#[test]
+fn what_clients_send_is_kept_within_the_room_for_it() {
+    let mut stand = Stand::new();
+    stand.node.desk.borrow_mut().place.messages_most = 50_000;
+    let (first, one) = stand.client();
+    let text = message("t1", &"x".repeat(40_000));
+    say(&first, &text[..30_000]);
+    stand.until(|node| (node.desk.borrow().kept == 30_000).then_some(()));
+    let (second, _) = stand.client();
+    say(&second, &text[..30_000]);
+    assert!(stand.heard(&second, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
+    let (third, _) = stand.client();
+    say(&third, "GET /health/live HTTP/1.1\r\n\r\n");
+    assert!(stand.heard(&third, "live\n").starts_with("HTTP/1.1 200 "), "small ones are taken");
+    drop((first, second, third));
+    stand.until(|node| node.desk.borrow().clients.is_empty().then_some(()));
+    assert_eq!(
+        (stand.node.desk.borrow().kept, stand.node.desk.borrow().clients.get(one).is_some()),
+        (0, false)
+    );
+}
+
+#[test]
+fn a_ticket_is_counted_until_it_is_over() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstreams();
+    let (client, _) = stand.client();
+    let text = message("t1", "body");
+    say(&client, &text);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    assert_eq!(stand.node.desk.borrow().kept, text.len());
+    say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    stand.heard(&client, "ok");
+    assert_eq!(stand.node.desk.borrow().kept, 0);
+}
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -340,11 +340,19 @@
         }
     }
 
-    /// Idle connections to what drains or is gone carry nothing any more.
+    /// Idle connections to what drains or is gone carry nothing any more, and without any it is forgotten: the
+    /// list names ever new ones.
     fn drop_left(&mut self) {
         let left = self.upstreams.iter().filter(|(_, upstream)| upstream.drains.is_some());
         let left: Vec<_> = left.map(|(slot, _)| slot).collect();
-        left.into_iter().for_each(|slot| self.drop_idle_links(slot, reasons::DRAINED));
+        for slot in left {
+            self.drop_idle_links(slot, reasons::DRAINED);
+            if self.links.values().all(|link| link.upstream != slot)
+                && let Some(upstream) = self.upstreams.remove(slot)
+            {
+                self.by_name.remove(&upstream.id);
+            }
+        }
     }
 }
 
--- a/node/src/wire/discovery/tests.rs
+++ b/node/src/wire/discovery/tests.rs
@@ -79,7 +79,7 @@
     let entries = [entry("s2", second.local_addr().unwrap(), "active")];
     stand.node.take_list(&json!({"rev": 2, "all": true, "targets": entries})).unwrap();
     let desk = stand.node.desk.borrow();
-    let drains = |id: &str| desk.upstreams[desk.by_name[id]].drains.is_some();
+    let drains = |id: &str| !desk.by_name.contains_key(id);
     assert_eq!((drains("s1"), drains("s2")), (true, false));
 }
 
@@ -107,7 +107,7 @@
     bad[field] = value;
     stand.list(&[bad, entry("s2", address, "active")]);
     let desk = stand.node.desk.borrow();
-    let drains = |id: &str| desk.upstreams[desk.by_name[id]].drains.is_some();
+    let drains = |id: &str| !desk.by_name.contains_key(id);
     assert_eq!((drains("s1"), drains("s2")), (true, false));
 }
 
@@ -129,3 +129,20 @@
     let zones = ["a", "b", "c", "b"].map(|name| desk.place.zone(name));
     assert_eq!(zones, [0, 1, 2, 1]);
 }
+
+#[test]
+fn what_left_is_forgotten_once_nothing_is_out_there() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let (_client, _) = stand.dispatched("t1", "s1", 60_000_000);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    let left = [entry("s1", upstream.local_addr().unwrap(), "left")];
+    stand.list(&left);
+    assert_eq!(stand.node.desk.borrow().upstreams.len(), 1);
+    say(&link, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    stand.until(|node| node.desk.borrow().links.is_empty().then_some(()));
+    stand.list(&left);
+    let desk = stand.node.desk.borrow();
+    assert_eq!((desk.upstreams.len(), desk.by_name.len()), (0, 0));
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -63,8 +63,7 @@
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
 const SILENT: f64 = 4.0;
 /// Failed share, of what the fleet's leaves, that makes an upstream failing, and the failures needed.
-const FAILING: f64 = 0.3;
-const FAILURES: f64 = 1.5;
+const FAILING: (f64, f64) = (0.3, 1.5);
 /// Suspected upstreams for each other one: the limits keep those left from being swamped.
 const MOST_OUT: usize = 3;
 /// First wait before a trial, in expected answer times, and its doublings.
@@ -156,15 +155,15 @@
     }
 
     pub fn list_entry(&mut self, id: &str, zone: u64, kind: u64, cell: u64, weight: f64, launched: Micros) {
-        let new = self.upstreams.len();
-        let at = *self.by_id.entry(Rc::from(id)).or_insert(new);
-        if at == new {
+        let blank = self.blank_place();
+        let at = *self.by_id.entry(Rc::from(id)).or_insert(blank);
+        if at == blank {
             let hash = id.bytes().fold(0, |hash, byte| mixed(hash, u64::from(byte)));
-            self.upstreams.push(Upstream { id: Rc::from(id), hash, ..Upstream::default() });
+            self.upstreams[at] = Upstream { id: Rc::from(id), hash, ..Upstream::default() };
         }
         let upstream = &mut self.upstreams[at];
         (upstream.zone, upstream.kind, upstream.cell, upstream.ready) = (zone, kind, cell, true);
-        if launched > upstream.launched && at < new {
+        if launched > upstream.launched && at != blank {
             // A new process has nothing to do with what was held against the old one.
             upstream.answers = Mean::default();
             upstream.failed = Fading::default();
@@ -178,6 +177,7 @@
 
     pub fn list_ends(&mut self, now: Micros) {
         self.failed_follows = 0;
+        self.forget_left(now);
         self.draw_order();
         self.pump(now);
     }
@@ -206,8 +206,7 @@
         (kept, (kept * balancers) as f64 / ready.max(1) as f64)
     }
 
-    /// How many upstreams a ticket looks among: beyond the circle for homes of its key, which all balancers
-    /// share and would overrun unseen where the list does not tell their load.
+    /// How many upstreams a ticket looks among: for homes of its key beyond the circle, if loads are listed.
     fn reach(&self) -> usize {
         let far = self.terms.keys_kept && self.terms.loads_listed;
         if far { self.order.len() } else { self.circle().0 }
@@ -328,6 +327,7 @@
         upstream.in_flight += 1;
         upstream.work_in_flight += ticket.work;
         upstream.unanswered_since.get_or_insert(now);
+        upstream.met_until = upstream.met_until.max(ticket.hard_stop);
         if !ticket.dispatches.is_empty() {
             self.seen.further.add(now, LASTING, 1.0);
         }
@@ -570,8 +570,8 @@
         let silent = upstream.silent_for(now) > SILENT * expected;
         let failed = upstream.failed.read(now, heard);
         let share = failed / (failed + upstream.succeeded.read(now, heard)).max(1e-9);
-        let enough = if upstream.suspected { FAILURES / 3.0 } else { FAILURES };
-        let suspected = silent || (failed > enough && share > FAILING + (1.0 - FAILING) * usual);
+        let enough = if upstream.suspected { FAILING.1 / 3.0 } else { FAILING.1 };
+        let suspected = silent || (failed > enough && share > FAILING.0 + (1.0 - FAILING.0) * usual);
         if suspected && !upstream.suspected {
             (upstream.trial_at, upstream.failed_trials) = (now + (TRIAL.0 * expected) as Micros, 0);
         }
@@ -658,7 +658,7 @@
         ticket.promised.min(ticket.hard_stop.saturating_sub(PUMP_EVERY)).saturating_sub(needed as Micros)
     }
 
-    /// Places a ticket, or holds it where it would be sent soon, else gives it up at once.
+    /// Places a ticket, holds it where it would be sent soon, or gives it up at once.
     fn admit(&mut self, now: Micros, mut ticket: Ticket) {
         if self.held.is_empty() && self.pool_has_room(now) && self.place(now, &mut ticket) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -548,3 +548,22 @@
     balancer.list_entry("u0", 0, 0, 0, 1.0, launched);
     assert_eq!(balancer.upstreams[0].failed.read(START_AT, RECENT), failed);
 }
+
+#[rstest]
+#[case::long_ago(120_000, 0, 0)]
+#[case::just_now(1, 0, 1)]
+#[case::not_left(120_000, 1, 1)]
+fn what_left_is_forgotten_and_its_place_used_again(
+    #[case] ago: u64,
+    #[case] entries: usize,
+    #[case] known: usize,
+) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 1);
+    balancer.upstreams[0].met_until = START_AT;
+    balancer.list_begins(true);
+    (0..entries).for_each(|_| balancer.list_entry("u0", 0, 0, 0, 1.0, 0));
+    balancer.list_ends(START_AT + ago * MS);
+    assert_eq!(balancer.by_id.len(), known);
+    balancer.list_entry("new", 0, 0, 0, 1.0, 0);
+    assert_eq!(balancer.by_id["new"], known);
+}
--- a/src/known.rs
+++ b/src/known.rs
@@ -12,6 +12,9 @@
 /// utilisation, own in flight, capacity, same zone, key likely met, reported queue.
 pub(crate) const FEATURES: usize = 8;
 
+/// How long a machine that left is known: one that comes back from a crash is as quick as before.
+const KNOWN_FOR: Micros = 60_000_000;
+
 /// One upstream as this balancer knows it. Answer times are per usual ticket.
 #[derive(Default)]
 pub(crate) struct Upstream {
@@ -37,6 +40,8 @@
     pub(crate) succeeded: Fading,
     pub(crate) failed: Fading,
     pub(crate) unanswered_since: Option<Micros>,
+    /// Until when tickets may be open that were sent here.
+    pub(crate) met_until: Micros,
     /// Turned a ticket away: nothing more until one has likely left, or refusals would come in storms.
     pub(crate) full_until: Micros,
     pub(crate) suspected: bool,
@@ -205,6 +210,28 @@
     }
 }
 
+impl<H: Host> Balancer<H> {
+    /// A place for an upstream that has none yet.
+    pub(crate) fn blank_place(&mut self) -> usize {
+        self.upstreams.iter().position(|upstream| upstream.id.is_empty()).unwrap_or_else(|| {
+            self.upstreams.push(Upstream::default());
+            self.upstreams.len() - 1
+        })
+    }
+
+    /// Forgets upstreams that left long ago and that no open ticket can have been sent to: the list names
+    /// ever new ones.
+    pub(crate) fn forget_left(&mut self, now: Micros) {
+        for upstream in &mut self.upstreams {
+            let out = upstream.in_flight + upstream.overdue.len() > 0;
+            if !upstream.ready && !upstream.id.is_empty() && !out && upstream.met_until + KNOWN_FOR < now {
+                self.by_id.remove(&upstream.id);
+                *upstream = Upstream::default();
+            }
+        }
+    }
+}
+
 impl Upstream {
     /// A dispatch is overdue: it may be lost, and what it would take up there with it.
     pub(crate) fn miss(&mut self, dispatch: &mut Dispatch, work: f64) {
