Long tickets go where they are done in time, or wait for room there

Ruled out: spoilt answers (att/r 1.04, wide has none), refusals (under 1 %).

Now candidates() keeps a ticket of over twice the usual work to upstreams that do it in time, and last_start() goes by the quickest one.

--- a/src/arithmetic.rs
+++ b/src/arithmetic.rs
@@ -39,3 +39,12 @@
     order.extend(left.into_iter().flatten());
     order
 }
+
+/// Euclidean projection of falling priorities onto the chances of the first m (eq. 4 of the paper).
+pub(crate) fn project(priorities: &[f64], m: usize) -> Vec<f64> {
+    let sum: f64 = priorities.iter().sum();
+    let kept: f64 = priorities.iter().take(m).sum();
+    let share = (1.0 - kept / sum) / m as f64;
+    let chance = |(place, o): (usize, &f64)| if place < m { o / sum + share } else { 0.0 };
+    priorities.iter().enumerate().map(chance).collect()
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,7 +13,7 @@
 
 use nanorand::{Rng, WyRand};
 
-use crate::arithmetic::{dot, mixed, relative, scattered, softplus};
+use crate::arithmetic::{dot, mixed, project, relative, scattered, softplus};
 use crate::fading::{Fading, Mean};
 use crate::known::{Balancer, Dispatch, FEATURES, Scene, Ticket, Upstream};
 use crate::{Effect, Ending, Group, Host, Micros, Terms};
@@ -34,8 +34,7 @@
 const KEY_SPREAD: f64 = 8.0;
 /// How long a key's part of the traffic is remembered, and doubts about what was met once or little seen.
 const KEY_LASTING: f64 = 60.0 * SECOND;
-const KEY_ALONE: f64 = 0.8;
-const KEY_DOUBT: f64 = 40.0;
+const KEY_DOUBTS: (f64, f64) = (0.8, 40.0);
 /// Homes of one key that a balancer keeps to, and sums that all keys share: enough to tell the popular ones.
 const HOMES_KEPT: usize = 4;
 const KEY_SUMS: usize = 1024;
@@ -98,19 +97,19 @@
 /// How often held tickets are looked at.
 const PUMP_EVERY: Micros = 10_000;
 /// Part of a ticket's spare time that the queue before it may take, also beyond its share: longer ones stand.
-const HELD_PART: f64 = 0.15;
-const HELD_PART_BEYOND: f64 = 0.04;
+const HELD_PART: (f64, f64) = (0.15, 0.04);
 /// Expected answer times after which a dismissed ticket may come back: past its promised time none is of use.
 const COME_BACK: f64 = 0.5;
 /// Expected answer times that must be left when a held ticket is sent.
 const TIME_LEFT: f64 = 2.0;
+/// Work against the usual from which a ticket is long, and the shortest answer times that it is given then.
+const LONG: (f64, f64) = (2.0, 1.2);
 
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
 const COLD: (f64, f64) = (0.4, 0.5);
 
 /// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
-const FOLLOW_WITHIN: f64 = 0.8;
-const FOLLOWERS: f64 = 32.0;
+const FOLLOW: (f64, f64) = (0.8, 32.0);
 
 const FOLLOW_ALARM: u64 = 0;
 const PUMP_ALARM: u64 = 1;
@@ -131,7 +130,7 @@
     /// Over how long the balancers spread asking for the list, or they would crowd the roster.
     fn follow_spread(&self) -> Option<Micros> {
         let others = self.terms.balancers as f64 - 1.0;
-        self.terms.ask_within.map(|w| (FOLLOW_WITHIN * w as f64 * others / (others + FOLLOWERS)) as Micros)
+        self.terms.ask_within.map(|w| (FOLLOW.0 * w as f64 * others / (others + FOLLOW.1)) as Micros)
     }
 
     /// The list failed or broke: the previous one stands, and we ask anew after a growing, scattered wait.
@@ -242,7 +241,7 @@
             [&self.seen.pressure.total, &self.seen.pressure.weight].map(|s| s.read(now, SECOND));
         let ease = 1.0 - (late + HEARD_PRIOR) / (heard + HEARD_PRIOR);
         self.let_through = (self.let_through * (1.0 + THINNING * ease)).clamp(LEAST_THROUGH, 1.0);
-        // Where a balancer has several upstreams to itself, its in-flight limit alone is fine enough.
+        // With several upstreams to itself, a balancer's in-flight limit alone is fine enough.
         let own = self.order.len() as f64 / self.terms.balancers as f64;
         let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + own.powi(4));
         // Beyond the share gives way first.
@@ -520,8 +519,14 @@
             ready.extend(out.into_iter().filter(|&u| self.has_room(now, u)));
             return (ready, None);
         }
+        // A long ticket goes where it is done in time, or waits for room there.
+        let spare = ticket.promised.saturating_sub(now) as f64;
+        let in_time = |u: &usize| LONG.1 * self.upstreams[*u].shortest.unwrap_or(0.0) * ticket.work <= spare;
+        if ticket.work > LONG.0 && self.order.iter().any(|u| in_time(u) && !self.upstreams[*u].suspected) {
+            ready.retain(in_time);
+        }
+        let turn = self.chance.generate_range(0..ready.len().max(1));
         // Ties would fall to whoever comes first, again and again.
-        let turn = self.chance.generate_range(0..ready.len());
         ready.rotate_left(turn);
         let risked = self.redone(ticket) && ticket.dispatches.is_empty();
         let trial = out.into_iter().find(|&u| risked && self.upstreams[u].trial_at <= now);
@@ -539,8 +544,8 @@
     /// its part of the traffic, the more homes it has, of which this balancer keeps to its own order's first.
     fn homes(&self, now: Micros, key: Option<u64>) -> Vec<(usize, f64)> {
         let Some(key) = key.filter(|_| self.terms.keys_kept) else { return Vec::new() };
-        let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, KEY_LASTING) - KEY_ALONE;
-        let share = met / (self.seen.keyed.read(now, KEY_LASTING) + KEY_DOUBT);
+        let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, KEY_LASTING) - KEY_DOUBTS.0;
+        let share = met / (self.seen.keyed.read(now, KEY_LASTING) + KEY_DOUBTS.1);
         let rank = |&(u, _): &(usize, f64)| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
         let among = self.reach();
         let full = KEY_SPREAD * share * among as f64;
@@ -654,7 +659,10 @@
 
     /// The moment after which an answer would likely come too late.
     fn last_start(&self, ticket: &Ticket) -> Micros {
-        let needed = TIME_LEFT * self.expected(ticket.use_case) * ticket.work.max(1.0);
+        let needed = match ticket.work > LONG.0 {
+            true => LONG.1 * self.quickest().min(self.expected(ticket.use_case)) * ticket.work,
+            false => TIME_LEFT * self.expected(ticket.use_case) * ticket.work.max(1.0),
+        };
         ticket.promised.min(ticket.hard_stop.saturating_sub(PUMP_EVERY)).saturating_sub(needed as Micros)
     }
 
@@ -669,7 +677,7 @@
         let wait = place as f64 / rate.max(1.0 / SECOND);
         // With nothing to spare a ticket is not even held until the next look: its hard stop may come first.
         let slack = self.last_start(&ticket) as f64 - now as f64;
-        let part = if ticket.within_share { HELD_PART } else { HELD_PART_BEYOND };
+        let part = if ticket.within_share { HELD_PART.0 } else { HELD_PART.1 };
         if slack <= 0.0 || wait > part * slack {
             return self.give_up(now, ticket);
         }
@@ -707,7 +715,7 @@
         within
     }
 
-    /// The upstream's load as it reports it; alike for all balancers and late.
+    /// The load that an upstream reports: late.
     pub fn load_reported(&mut self, now: Micros, id: &str, busy: Option<f64>, queue: Option<f64>) {
         if let Some(&u) = self.by_id.get(id) {
             let upstream = &mut self.upstreams[u];
@@ -864,12 +872,3 @@
 fn top(ready: usize) -> usize {
     (3 * ready).div_ceil(4).max(2).min(ready)
 }
-
-/// Euclidean projection of falling priorities onto the chances of the first m (eq. 4 of the paper).
-fn project(priorities: &[f64], m: usize) -> Vec<f64> {
-    let sum: f64 = priorities.iter().sum();
-    let kept: f64 = priorities.iter().take(m).sum();
-    let share = (1.0 - kept / sum) / m as f64;
-    let chance = |(place, o): (usize, &f64)| if place < m { o / sum + share } else { 0.0 };
-    priorities.iter().enumerate().map(chance).collect()
-}
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -567,3 +567,26 @@
     balancer.list_entry("new", 0, 0, 0, 1.0, 0);
     assert_eq!(balancer.by_id["new"], known);
 }
+
+#[rstest]
+#[case::usual(1.0, 1, &[0, 1])]
+#[case::long_and_quick_has_room(4.0, 1, &[1])]
+#[case::long_and_quick_is_full(4.0, 100, &[])]
+fn a_long_ticket_goes_where_it_is_done_in_time_or_waits(
+    #[case] work: f64,
+    #[case] taken: usize,
+    #[case] expected: &[usize],
+) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 2);
+    balancer.terms.balancers = 1;
+    balancer.upstreams[0].shortest = Some(110.0 * MS as f64);
+    balancer.upstreams[1].shortest = Some(50.0 * MS as f64);
+    balancer.upstreams[1].in_flight = taken;
+    let ticket = Ticket { work, ..ticket(&[], false) };
+    let (mut ready, _) = balancer.candidates(START_AT, &ticket);
+    ready.sort();
+    assert_eq!(ready, expected);
+    // It may be held as long as the quick one still has the time for it.
+    let needed = if work > LONG.0 { LONG.1 * 50.0 * work } else { TIME_LEFT * 100.0 };
+    assert_eq!(balancer.last_start(&ticket), ticket.promised - needed as Micros * MS);
+}
--- a/src/known.rs
+++ b/src/known.rs
@@ -211,6 +211,12 @@
 }
 
 impl<H: Host> Balancer<H> {
+    /// The shortest answer time of the quickest upstream that is ready.
+    pub(crate) fn quickest(&self) -> f64 {
+        let known = self.order.iter().filter_map(|&u| self.upstreams[u].shortest);
+        known.fold(f64::INFINITY, f64::min)
+    }
+
     /// A place for an upstream that has none yet.
     pub(crate) fn blank_place(&mut self) -> usize {
         self.upstreams.iter().position(|upstream| upstream.id.is_empty()).unwrap_or_else(|| {
