A refused connection to an upstream in the list has a silent watch begun anew

The log shows "discovery_overdue" at 21.6 s for a watch begun at 12.8 s: a watch that falls silent is found out only after its whole wait and 1.5 s (OVERDUE in wire/discovery.rs). Ruled out: cold upstreams (none known was cold), the limits (those alive were full). A shorter watch was not tried: discovery takes calls in turn, and each is dear.

--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -35,6 +35,10 @@
 /// The shortest time between two calls: answers that come at once would have us ask without end. A watch goes
 /// on as long as the next call follows within 200 ms.
 const ASK_APART: Micros = 100_000;
+/// How long a watch must be out before a refused connection casts doubt on it: discovery is one service for all,
+/// and its calls are dear. Doubled at each doubt that brought no news.
+const DOUBT_AFTER: Micros = 3_000_000;
+const DOUBT_DOUBLINGS: u32 = 3;
 /// How long the list that we were started with, which may be old, waits for discovery's own.
 const LIST_WAIT: Micros = 200_000;
 /// Longest list taken: some thousand upstreams.
@@ -58,6 +62,8 @@
     overdue: Micros,
     due: Option<Place>,
     failures: u32,
+    /// Doubts since the last list that told anything.
+    doubts: u32,
     /// Whether there is the list that we were started with, and one of discovery's own.
     known: bool,
     taken: bool,
@@ -78,6 +84,7 @@
             overdue: 0,
             due: None,
             failures: 0,
+            doubts: 0,
             known: false,
             taken: false,
             started: now,
@@ -196,6 +203,9 @@
         let mut desk = self.desk.borrow_mut();
         desk.drop_left();
         desk.roster.version = Some(version);
+        if !entries.is_empty() {
+            desk.roster.doubts = 0;
+        }
         desk.counters.lists_taken += 1;
         Ok(())
     }
@@ -279,6 +289,18 @@
         self.ask_at(self.clock.now());
     }
 
+    /// An upstream that the list names as there refused a connection. A watch that has fallen silent would tell of
+    /// it only when it is overdue, so we ask anew.
+    pub fn doubt_list(&mut self) {
+        let after = DOUBT_AFTER << self.roster.doubts.min(DOUBT_DOUBLINGS);
+        if self.roster.asking && self.roster.connected && self.clock.now() >= self.roster.asked + after {
+            self.roster.doubts += 1;
+            self.end_discovery(reasons::DOUBTED);
+            self.roster.asking = false;
+            self.ask_at(self.clock.now());
+        }
+    }
+
     fn ask(&mut self) -> std::io::Result<()> {
         let (path, wait) = match self.roster.version {
             None => ("/registry/instances".to_owned(), QUEUED),
--- a/node/src/wire/discovery/tests.rs
+++ b/node/src/wire/discovery/tests.rs
@@ -146,3 +146,32 @@
     let desk = stand.node.desk.borrow();
     assert_eq!((desk.upstreams.len(), desk.by_name.len()), (0, 0));
 }
+
+#[rstest]
+#[case::out_for_long(DOUBT_AFTER, 0, true)]
+#[case::just_asked(DOUBT_AFTER / 2, 0, false)]
+#[case::doubted_in_vain(DOUBT_AFTER, 1, false)]
+fn a_watch_is_doubted_where_an_upstream_in_the_list_refuses(
+    #[case] out: Micros,
+    #[case] doubts: u32,
+    #[case] anew: bool,
+) {
+    let mut stand = Stand::new();
+    let first = call(&mut stand);
+    say(&first, &answer(&json!({"rev": 41, "all": true, "targets": []})));
+    assert!(stand.heard(&first, "\r\n\r\n").contains("since=41&"));
+    {
+        let mut desk = stand.node.desk.borrow_mut();
+        desk.roster.asked = desk.clock.now() - out;
+        desk.roster.doubts = doubts;
+    }
+    let gone = listener().local_addr().unwrap();
+    stand.list(&[entry("s1", gone, "active")]);
+    stand.node.desk.borrow_mut().roster.doubts = doubts;
+    let _client = stand.dispatched("t1", "s1", 60_000_000);
+    stand.until(|node| (node.desk.borrow().counters.dispatches_unreachable > 0).then_some(()));
+    assert_eq!(stand.node.desk.borrow().roster.doubts > doubts, anew);
+    if anew {
+        assert!(call(&mut stand).peer_addr().is_ok());
+    }
+}
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -83,6 +83,9 @@
         let mut desk = self.desk.borrow_mut();
         let errand = desk.links.get_mut(slot).and_then(|link| link.errand.take());
         desk.end_link(slot, reason);
+        if reason == reasons::CONNECT_FAILED {
+            desk.doubt_list();
+        }
         drop(desk);
         if let Some(errand) = errand {
             self.dispatch_over(errand.ticket, errand.number, ending, errand.sent);
