Reading again: one piece of code where this work had two, and state that can be counted

What clients keep in memory was a count carried along at five places; it is summed up now where a long message asks for it. A connection to discovery that ends takes its call with it in end_discovery() itself, not at each of its callers. The deadline of a client that has brought no ticket is worked out once; place.rs reads the limits once; the values of a field by name (heads::texts) serve word lists and load reports; taking a rested connection has a function of its own; a free upstream is one with no places taken. Two comments told of the first form of overdue dispatches. Tests word discovery's answer once.

Behaviour as before; no assertion changed.

--- a/node/src/life/place.rs
+++ b/node/src/life/place.rs
@@ -73,15 +73,9 @@
         let settings = part(told, "settings")?;
         let terms = terms(settings).map_err(|problem| format!("in 'settings': {problem}"))?;
         let caps = part(settings, "caps")?;
-        let limit = match optional(told, "limits", Some)? {
-            Some(limits) => optional(limits, "sockets", Value::as_u64)?.unwrap_or(most_open),
-            None => most_open,
-        };
-        let memory = match optional(told, "limits", Some)? {
-            Some(limits) => optional(limits, "memory_mb", Value::as_u64)?,
-            None => None,
-        };
-        let open = limit.min(most_open);
+        let limits = optional(told, "limits", Some)?.unwrap_or(&Value::Null);
+        let memory = optional(limits, "memory_mb", Value::as_u64)?;
+        let open = optional(limits, "sockets", Value::as_u64)?.unwrap_or(most_open).min(most_open);
         if open < FEWEST {
             return Err(format!("field 'sockets' is {open}, and {FEWEST} are the fewest to serve with"));
         }
--- a/node/src/life/reread/tests.rs
+++ b/node/src/life/reread/tests.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 
 use super::*;
-use crate::stand::{Stand, entry, listener, say, told};
+use crate::stand::{Stand, answer, entry, listener, say, told};
 
 /// What BALANCER_* variables said at the start.
 fn variables() -> Variables {
@@ -39,8 +39,7 @@
         assert!(stand.heard(&call, "\r\n\r\n").starts_with("GET /registry/instances HTTP/1.1\r\n"));
         let list = json!({"rev": 1, "all": true,
             "targets": [entry("s1", upstream.local_addr().unwrap(), "active")]});
-        let text = list.to_string();
-        say(&call, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()));
+        say(&call, &answer(&list));
         assert!(stand.heard(&call, "\r\n\r\n").contains("since=1&"));
         // The next round finds a watch of this one.
         stand.discovery = new;
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -88,7 +88,6 @@
         links: SlotMap::with_key(),
         tickets: SlotMap::with_key(),
         by_id: HashMap::new(),
-        kept: 0,
         upstreams: SlotMap::with_key(),
         by_name: HashMap::new(),
         roster: Roster::new(seed, now),
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -58,8 +58,6 @@
     pub tickets: u64,
     /// Its deadline is about a request of which part is here.
     pub partial: bool,
-    /// Bytes in the inbox when last counted.
-    pub kept: usize,
     /// Bytes read away since our sending was over.
     pub read_away: usize,
     /// Why it ends once all is written.
@@ -136,8 +134,6 @@
     pub links: SlotMap<LinkSlot, Link>,
     pub tickets: SlotMap<TicketSlot, Ticket>,
     pub by_id: HashMap<Rc<str>, TicketSlot>,
-    /// Bytes of clients' messages that are kept, in inboxes and in tickets.
-    pub kept: usize,
     pub upstreams: SlotMap<UpstreamSlot, Upstream>,
     pub by_name: HashMap<Rc<str>, UpstreamSlot>,
     pub roster: Roster,
@@ -155,11 +151,10 @@
         self.clock.now()
     }
 
-    /// Brings the count of what is kept up to a client's inbox.
-    pub fn count_kept(&mut self, slot: ClientSlot) {
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        let kept = client.inbox.kept().len();
-        self.kept = self.kept + kept - std::mem::replace(&mut client.kept, kept);
+    /// Bytes of clients' messages that are kept, in inboxes and in tickets.
+    pub fn kept(&self) -> usize {
+        let unread: usize = self.clients.values().map(|client| client.inbox.kept().len()).sum();
+        unread + self.tickets.values().map(|ticket| ticket.length).sum::<usize>()
     }
 
     /// Takes the client from a ticket: from here on nobody waits for its answer.
@@ -191,7 +186,6 @@
             && let Some(ticket) = self.tickets.remove(slot)
         {
             self.by_id.remove(&ticket.id);
-            self.kept -= ticket.length;
         }
     }
 
--- a/node/src/stand.rs
+++ b/node/src/stand.rs
@@ -42,6 +42,12 @@
         "state": state, "capacity_hint": 1.0, "boot_ms": 0})
 }
 
+/// Discovery's answer with a list.
+pub fn answer(list: &Value) -> String {
+    let text = list.to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+}
+
 /// A whole request for the labelled use case.
 pub fn message(id: &str, body: &str) -> String {
     format!(
--- a/node/src/wire/accepting.rs
+++ b/node/src/wire/accepting.rs
@@ -81,7 +81,6 @@
                     opened: self.clock.now(),
                     tickets: 0,
                     partial: false,
-                    kept: 0,
                     read_away: 0,
                     ending: None,
                     lingers: false,
--- a/node/src/wire/answers.rs
+++ b/node/src/wire/answers.rs
@@ -120,9 +120,7 @@
 /// What an upstream tells of its load: how busy it is, and its queue or else what it holds. A report that can't be
 /// read tells nothing, not that there is no load.
 fn load(fields: &[Header]) -> Option<(Option<f64>, Option<f64>)> {
-    let reports = fields.iter().filter(|field| field.name.eq_ignore_ascii_case("x-pressure"));
-    let texts = reports.filter_map(|field| std::str::from_utf8(field.value).ok());
-    texts.map(figures).find(|told| *told != (None, None))
+    heads::texts(fields, "x-pressure").map(figures).find(|told| *told != (None, None))
 }
 
 fn figures(text: &str) -> (Option<f64>, Option<f64>) {
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -21,7 +21,7 @@
 const SLOW_AFTER: Micros = 10_000_000;
 /// How long after connecting the first ticket may take to be here whole: clients that open a connection have
 /// something to send, and whoever has sent none by then is a bad client or none at all.
-pub const FIRST_WITHIN: Micros = 2_300_000;
+const FIRST_WITHIN: Micros = 2_300_000;
 /// How long a connection may stand between tickets: a client that vanished says nothing.
 const IDLE_MOST: Micros = 120_000_000;
 /// How long it may stand at the least. Where many stand, those that want to send need the room.
@@ -38,12 +38,7 @@
 impl Node {
     /// Something may be read from or written to a client's connection.
     pub fn client_ready(&mut self, slot: ClientSlot) {
-        let looked = {
-            let mut desk = self.desk.borrow_mut();
-            let looked = desk.look(slot);
-            desk.count_kept(slot);
-            looked
-        };
+        let looked = self.desk.borrow_mut().look(slot);
         match looked {
             Look::Nothing => {}
             Look::Gone(reason) => self.client_gone(slot, reason),
@@ -84,13 +79,16 @@
         if !client.inbox.kept().is_empty() {
             return desk.turn_off(slot, 408, reasons::SLOW_SENDER);
         }
-        let (since, fresh) = (client.since, client.tickets == 0);
-        let stood = desk.clock.now().saturating_sub(since);
+        let (since, fresh, now) = (client.since, client.tickets == 0, desk.clock.now());
+        let stood = now.saturating_sub(since);
         let many = desk.clients.len() as f64 >= MANY * desk.place.clients_most as f64;
         if fresh || stood >= IDLE_MOST || (many && stood >= IDLE_LEAST) {
             return desk.end_client(slot, reasons::CLIENT_IDLE);
         }
-        desk.look_again(slot);
+        let again = Some(desk.deadlines.hang(now + IDLE_LEAST, Due::Client(slot)));
+        if let Some(client) = desk.clients.get_mut(slot) {
+            client.due = again;
+        }
     }
 }
 
@@ -155,36 +153,27 @@
         }
     }
 
-    /// A connection stands between tickets from now on. One that has brought none yet has no time but that
-    /// since it was opened.
+    /// A connection stands between tickets from now on. Whether it may is seen when the least time is over, and
+    /// then again and again.
     pub fn client_stands(&mut self, slot: ClientSlot) {
-        let now = self.clock.now();
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        client.since = now;
-        if client.tickets == 0 {
-            let at = client.opened + FIRST_WITHIN;
-            self.deadlines.move_to(&mut client.due, at, Due::Client(slot));
-        } else {
-            self.look_again(slot);
-        }
-    }
-
-    /// Whether it may go on standing is seen when the least time is over, and then again and again.
-    fn look_again(&mut self, slot: ClientSlot) {
-        let at = self.clock.now() + IDLE_LEAST;
-        if let Some(client) = self.clients.get_mut(slot) {
-            self.deadlines.move_to(&mut client.due, at, Due::Client(slot));
-        }
+        self.wait_for_more(slot, IDLE_LEAST);
     }
 
     /// Part of a request is here: from its first bytes on its time runs, however it trickles in.
     pub fn wait_for_rest(&mut self, slot: ClientSlot) {
-        let now = self.clock.now();
         let Some(client) = self.clients.get_mut(slot) else { return };
-        let by = if client.tickets == 0 { client.opened + FIRST_WITHIN } else { now + SLOW_AFTER };
-        // What a look at a standing connection was hung for is over.
+        // What was hung while the connection stood is over.
         if !std::mem::replace(&mut client.partial, true) {
+            self.wait_for_more(slot, SLOW_AFTER);
+        }
+    }
+
+    /// A connection that has brought no ticket yet has no time but that since it was opened.
+    fn wait_for_more(&mut self, slot: ClientSlot, how_long: Micros) {
+        let now = self.clock.now();
+        if let Some(client) = self.clients.get_mut(slot) {
             client.since = now;
+            let by = if client.tickets == 0 { client.opened + FIRST_WITHIN } else { now + how_long };
             self.deadlines.move_to(&mut client.due, by, Due::Client(slot));
         }
     }
@@ -281,7 +270,6 @@
 
     pub fn end_client(&mut self, slot: ClientSlot, reason: &'static str) {
         let Some(mut client) = self.clients.remove(slot) else { return };
-        self.kept -= client.kept;
         self.deadlines.clear(&mut client.due);
         self.handle.remove(client.wired.token);
         self.counters.clients_ended += 1;
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -275,7 +275,7 @@
     let (first, one) = stand.client();
     let text = message("t1", &"x".repeat(40_000));
     say(&first, &text[..30_000]);
-    stand.until(|node| (node.desk.borrow().kept == 30_000).then_some(()));
+    stand.until(|node| (node.desk.borrow().kept() == 30_000).then_some(()));
     let (second, _) = stand.client();
     say(&second, &text[..30_000]);
     assert!(stand.heard(&second, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
@@ -285,7 +285,7 @@
     drop((first, second, third));
     stand.until(|node| node.desk.borrow().clients.is_empty().then_some(()));
     assert_eq!(
-        (stand.node.desk.borrow().kept, stand.node.desk.borrow().clients.get(one).is_some()),
+        (stand.node.desk.borrow().kept(), stand.node.desk.borrow().clients.get(one).is_some()),
         (0, false)
     );
 }
@@ -299,10 +299,10 @@
     say(&client, &text);
     let link = stand.accepted(&upstream);
     stand.heard(&link, "body");
-    assert_eq!(stand.node.desk.borrow().kept, text.len());
+    assert_eq!(stand.node.desk.borrow().kept(), text.len());
     say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     stand.heard(&client, "ok");
-    assert_eq!(stand.node.desk.borrow().kept, 0);
+    assert_eq!(stand.node.desk.borrow().kept(), 0);
 }
 
 #[rstest]
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -253,7 +253,6 @@
         desk.deadlines.clear(&mut desk.roster.due);
         let asks_itself = desk.place.ask_within.is_some();
         let roster = &mut desk.roster;
-        roster.asking = false;
         let failures = roster.failures;
         roster.failures += 1;
         if !asks_itself {
@@ -285,7 +284,6 @@
         self.place.discovery = address;
         self.end_discovery(reasons::MOVED);
         self.roster.version = None;
-        self.roster.asking = false;
         self.ask_at(self.clock.now());
     }
 
@@ -296,7 +294,6 @@
         if self.roster.asking && self.roster.connected && self.clock.now() >= self.roster.asked + after {
             self.roster.doubts += 1;
             self.end_discovery(reasons::DOUBTED);
-            self.roster.asking = false;
             self.ask_at(self.clock.now());
         }
     }
@@ -329,7 +326,9 @@
         Ok(())
     }
 
+    /// The connection ends, and with it the call that is out.
     pub fn end_discovery(&mut self, reason: &'static str) {
+        self.roster.asking = false;
         self.roster.inbox.forget();
         self.roster.outbox = Outbox::default();
         self.roster.connected = false;
--- a/node/src/wire/discovery/tests.rs
+++ b/node/src/wire/discovery/tests.rs
@@ -2,12 +2,7 @@
 use serde_json::json;
 
 use super::*;
-use crate::stand::{Stand, entry, listener, say};
-
-fn answer(list: &Value) -> String {
-    let text = list.to_string();
-    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
-}
+use crate::stand::{Stand, answer, entry, listener, say};
 
 /// The first call for the list, taken by discovery.
 fn call(stand: &mut Stand) -> std::net::TcpStream {
--- a/node/src/wire/heads.rs
+++ b/node/src/wire/heads.rs
@@ -54,11 +54,17 @@
     field(fields, name).filter(|_| count == 1)
 }
 
+/// The values of all fields of that name, where they are text.
+pub fn texts<'a>(fields: &[Header<'a>], name: &str) -> impl Iterator<Item = &'a str> {
+    let named = fields.iter().filter(move |field| field.name.eq_ignore_ascii_case(name));
+    named.filter_map(|field| std::str::from_utf8(field.value).ok())
+}
+
 /// Whether a field that lists words holds one.
 pub fn lists(fields: &[Header], name: &str, word: &str) -> bool {
-    let named = fields.iter().filter(|field| field.name.eq_ignore_ascii_case(name));
-    let texts = named.filter_map(|field| std::str::from_utf8(field.value).ok());
-    texts.flat_map(|text| text.split(',')).any(|listed| listed.trim().eq_ignore_ascii_case(word))
+    texts(fields, name)
+        .flat_map(|text| text.split(','))
+        .any(|listed| listed.trim().eq_ignore_ascii_case(word))
 }
 
 pub fn framing(fields: &[Header]) -> Result<Framing, Conflicting> {
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -10,7 +10,7 @@
 use crate::life::place::Place;
 use crate::life::reasons;
 use crate::life::serve::Node;
-use crate::memory::desk::{Desk, Ticket};
+use crate::memory::desk::{Client, Desk, Ticket};
 use crate::memory::slots::ClientSlot;
 use crate::wire::clients::READ_AHEAD;
 use crate::wire::heads::{self, BODY_MOST, Body, Conflicting, FIELDS_MOST, Framing, HEAD_MOST, MESSAGE_MOST};
@@ -32,12 +32,12 @@
     pub fn take_message(&mut self, slot: ClientSlot) {
         let mut borrowed = self.desk.borrow_mut();
         let desk = &mut *borrowed;
-        let scarce = desk.kept > desk.place.messages_most;
-        let Some(client) = desk.clients.get_mut(slot) else { return };
-        if scarce && client.inbox.kept().len() > READ_AHEAD {
+        let long = |client: &Client| client.inbox.kept().len() > READ_AHEAD;
+        if desk.clients.get(slot).is_some_and(long) && desk.kept() > desk.place.messages_most {
             // Nothing of it was sent on. Small messages go on being taken: they are bounded by their number.
             return desk.turn_off(slot, 503, reasons::NO_ROOM);
         }
+        let Some(client) = desk.clients.get_mut(slot) else { return };
         let (head, body, end) = match whole_message(client.inbox.kept()) {
             Ok(Some(found)) => found,
             Ok(None) => {
@@ -55,7 +55,6 @@
         };
         let message = client.inbox.take(end);
         (client.continued, client.partial) = (false, false);
-        desk.count_kept(slot);
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
         let mut asked = Request::new(&mut fields);
         let (Ok(_), Some(method), Some(target)) = (asked.parse(&message[..head]), asked.method, asked.path)
@@ -65,10 +64,7 @@
         };
         let fields = &*asked.headers;
         // HTTP/1.0 has no connection that lasts unless both sides say so, and we do not.
-        let last = heads::lists(fields, "connection", "close") || asked.version == Some(0);
-        if let Some(client) = desk.clients.get_mut(slot) {
-            client.last = last;
-        }
+        client.last = heads::lists(fields, "connection", "close") || asked.version == Some(0);
         let path = path(target);
         if desk.own_page(slot, method, path) {
             return;
@@ -132,7 +128,6 @@
             length: message.len(),
             dispatches: Vec::new(),
         };
-        self.kept += ticket.length;
         let ticket = self.tickets.insert(ticket);
         self.by_id.insert(Rc::clone(&id), ticket);
         self.counters.tickets_taken += 1;
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -108,12 +108,7 @@
 impl Desk {
     /// The connection to an upstream that was used last, of those that have rested, or a new one.
     pub fn link_to(&mut self, upstream: UpstreamSlot) -> Result<LinkSlot, Ending> {
-        let now = self.now();
-        while let Some(slot) = self.upstreams.get_mut(upstream).and_then(|upstream| {
-            let rested =
-                |slot: &LinkSlot| self.links.get(*slot).is_none_or(|link| link.answered + REST <= now);
-            upstream.idle.iter().rposition(rested).map(|place| upstream.idle.remove(place))
-        }) {
+        while let Some(slot) = self.take_rested(upstream) {
             let Some(link) = self.links.get(slot) else { continue };
             match link.wired.stream.peek(&mut [0]) {
                 Err(problem) if problem.kind() == ErrorKind::WouldBlock => return Ok(slot),
@@ -154,6 +149,15 @@
         })
     }
 
+    /// Takes the idle connection used last, of those that have rested, from its upstream.
+    fn take_rested(&mut self, upstream: UpstreamSlot) -> Option<LinkSlot> {
+        let now = self.now();
+        let idle = &mut self.upstreams.get_mut(upstream)?.idle;
+        let rested = |slot: &LinkSlot| self.links.get(*slot).is_none_or(|link| link.answered + REST <= now);
+        let place = idle.iter().rposition(rested)?;
+        Some(idle.remove(place))
+    }
+
     fn look_at_link(&mut self, slot: LinkSlot) -> Look {
         let now = self.now();
         let Some(link) = self.links.get_mut(slot) else { return Look::Nothing };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -525,8 +525,8 @@
         if ticket.work > LONG.0 && self.order.iter().any(|u| in_time(u) && !self.upstreams[*u].suspected) {
             ready.retain(in_time);
         }
-        let turn = self.chance.generate_range(0..ready.len().max(1));
         // Ties would fall to whoever comes first, again and again.
+        let turn = self.chance.generate_range(0..ready.len().max(1));
         ready.rotate_left(turn);
         let risked = self.redone(ticket) && ticket.dispatches.is_empty();
         let trial = out.into_iter().find(|&u| risked && self.upstreams[u].trial_at <= now);
@@ -601,8 +601,8 @@
         patience.min(if last > usual { last } else { f64::INFINITY }) as Micros
     }
 
-    /// Nothing came from a dispatch for long: it leaves its place there to one that tells whether all
-    /// hangs or it alone, and a second copy goes elsewhere if that is open to the ticket.
+    /// Nothing came from a dispatch for long: it is overdue there, and a second copy goes elsewhere if that
+    /// is open to the ticket, now or as soon as there is room.
     fn patience_ran_out(&mut self, now: Micros, mut ticket: Ticket, number: usize) {
         if let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) {
             self.upstreams[dispatch.upstream].miss(dispatch, ticket.work);
@@ -646,7 +646,7 @@
 
     fn has_room(&self, now: Micros, u: usize) -> bool {
         let up = &self.upstreams[u];
-        up.full_until <= now && (up.is_free() || up.places() + ROUNDING < self.limit(now, u))
+        up.full_until <= now && (up.places() == 0.0 || up.places() + ROUNDING < self.limit(now, u))
     }
 
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
--- a/src/known.rs
+++ b/src/known.rs
@@ -229,7 +229,7 @@
     /// ever new ones.
     pub(crate) fn forget_left(&mut self, now: Micros) {
         for upstream in &mut self.upstreams {
-            let out = upstream.in_flight + upstream.overdue.len() > 0;
+            let out = upstream.places() > 0.0;
             if !upstream.ready && !upstream.id.is_empty() && !out && upstream.met_until + KNOWN_FOR < now {
                 self.by_id.remove(&upstream.id);
                 *upstream = Upstream::default();
@@ -239,7 +239,7 @@
 }
 
 impl Upstream {
-    /// A dispatch is overdue: it may be lost, and what it would take up there with it.
+    /// A dispatch is overdue: it no longer counts as load, but takes up its place until a later one succeeds.
     pub(crate) fn miss(&mut self, dispatch: &mut Dispatch, work: f64) {
         if !std::mem::replace(&mut dispatch.overdue, true) {
             self.overdue.push(dispatch.sent);
@@ -255,11 +255,7 @@
         }
     }
 
-    pub(crate) fn is_free(&self) -> bool {
-        self.in_flight == 0 && self.overdue.is_empty()
-    }
-
-    /// Places taken up: one overdue dispatch may be lost, several tell that the upstream is slow.
+    /// Places taken up: an overdue dispatch may be lost, or tell that the upstream is slow.
     pub(crate) fn places(&self) -> f64 {
         (self.in_flight + self.overdue.len()) as f64
     }
