--- /dev/null
+++ b/lab/src/clients.rs
@@ -0,0 +1,303 @@
+//! The clients of a day: each ticket is written when it is due, whatever became of others, and followed to its end.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use pinefront_model::Micros;
+use pinefront_model::day::Effect;
+use pinefront_model::judge::{Outcome, Seen};
+use pinefront_model::service::Tally;
+use pinefront_model::traffic::{self, Ticket};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+
+use crate::http;
+use crate::stand::body;
+use crate::world::{World, locked};
+
+/// How long after a ticket's hard stop its connection is given up.
+const WAITS_ON: Duration = Duration::from_millis(300);
+/// How long a connection to a balancer may take.
+const CONNECT_WITHIN: Duration = Duration::from_secs(1);
+/// Numbers of later tries, far from those of first ones.
+const LATER_TRIES: u64 = 1 << 40;
+/// The longest time a histogram tells apart.
+const LONGEST_US: u64 = 60_000_000;
+
+/// A histogram of times in microseconds, to three digits.
+pub fn histogram() -> Histogram<u64> {
+    // These bounds are within what the library takes, as a test shows.
+    Histogram::new_with_bounds(1, LONGEST_US, 3).unwrap_or_else(|_| {
+        Histogram::new_with_max(LONGEST_US, 1).unwrap_or_else(|_| unreachable!("bounds are constants"))
+    })
+}
+
+/// What all clients saw.
+pub struct Collected {
+    pub tally: Tally,
+    pub asked: u64,
+    pub succeeded: u64,
+    pub dismissed: u64,
+    pub abandoned: u64,
+    pub unanswered: u64,
+    pub left: u64,
+    /// Tries for which no balancer could be reached.
+    pub unreached: u64,
+    /// From when a try was due to its answer, for those that succeeded.
+    pub latency: Histogram<u64>,
+    /// From when a try was due to when it was written.
+    pub lateness: Histogram<u64>,
+    /// Answer times of what succeeded by second, for a plot.
+    pub by_second: Vec<Histogram<u64>>,
+}
+
+impl Collected {
+    pub fn new(seconds: usize) -> Self {
+        Self {
+            tally: Tally::new(),
+            asked: 0,
+            succeeded: 0,
+            dismissed: 0,
+            abandoned: 0,
+            unanswered: 0,
+            left: 0,
+            unreached: 0,
+            latency: histogram(),
+            lateness: histogram(),
+            by_second: (0..seconds).map(|_| histogram()).collect(),
+        }
+    }
+}
+
+impl Collected {
+    fn ended(&mut self, ticket: &Ticket, end: &End, now: Micros) {
+        let outcome = match end {
+            End::Answered(outcome, _) => Some(*outcome),
+            _ => None,
+        };
+        match end {
+            End::Answered(Outcome::Succeeded, _) => {
+                self.succeeded += 1;
+                let took = now.saturating_sub(ticket.due).max(1);
+                self.latency.saturating_record(took);
+                if let Some(second) = self.by_second.get_mut((ticket.due / 1_000_000) as usize) {
+                    second.saturating_record(took);
+                }
+            }
+            End::Answered(Outcome::Dismissed, _) => self.dismissed += 1,
+            End::Answered(Outcome::Abandoned, _) => self.abandoned += 1,
+            End::Lost => self.unanswered += 1,
+            End::Left => self.left += 1,
+            End::Unreached => self.unreached += 1,
+        }
+        self.tally.ended(ticket, now, outcome);
+    }
+}
+
+/// The front before the balancers: which of them it deals tickets out among.
+pub struct Front {
+    pub addresses: Vec<SocketAddr>,
+    up: Vec<AtomicBool>,
+}
+
+impl Front {
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        let up = addresses.iter().map(|_| AtomicBool::new(true)).collect();
+        Self { addresses, up }
+    }
+
+    pub fn set(&self, balancer: usize, up: bool) {
+        if let Some(flag) = self.up.get(balancer) {
+            flag.store(up, Ordering::Relaxed);
+        }
+    }
+
+    /// The balancer that a draw falls to, or the next that is up.
+    fn deal(&self, dealt: f64) -> usize {
+        let count = self.addresses.len();
+        let first = ((dealt * count as f64) as usize).min(count - 1);
+        let up = |turn: &usize| self.up[(first + turn) % count].load(Ordering::Relaxed);
+        (first + (0..count).find(up).unwrap_or(0)) % count
+    }
+}
+
+/// What every worker of the load shares.
+pub struct Load {
+    pub world: Arc<World>,
+    pub front: Front,
+    pub collected: Mutex<Collected>,
+    pub next_number: AtomicU64,
+}
+
+impl Load {
+    pub fn new(world: Arc<World>, addresses: Vec<SocketAddr>) -> Self {
+        let seconds = (world.day.length.get_ref().0 / 1_000_000 + 1).min(3600) as usize;
+        Self {
+            world,
+            front: Front::new(addresses),
+            collected: Mutex::new(Collected::new(seconds)),
+            next_number: AtomicU64::new(LATER_TRIES),
+        }
+    }
+}
+
+/// A worker: a thread of its own with a runtime of its own, so that stand-ins at work delay no ticket.
+pub fn worker(load: &Arc<Load>, mut due: mpsc::Receiver<Ticket>) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let set = LocalSet::new();
+    set.block_on(&runtime, async {
+        let pools: Rc<RefCell<Vec<Vec<TcpStream>>>> =
+            Rc::new(RefCell::new(load.front.addresses.iter().map(|_| Vec::new()).collect()));
+        while let Some(ticket) = due.recv().await {
+            tokio::task::spawn_local(client(Arc::clone(load), Rc::clone(&pools), ticket));
+        }
+    });
+    // What is still out ends by itself: every try has an end.
+    runtime.block_on(set);
+    Ok(())
+}
+
+type Pools = Rc<RefCell<Vec<Vec<TcpStream>>>>;
+
+/// How a try ended.
+enum End {
+    Answered(Outcome, Option<Micros>),
+    Lost,
+    Left,
+    Unreached,
+}
+
+/// One client: its tries, one after the other.
+async fn client(load: Arc<Load>, pools: Pools, mut ticket: Ticket) {
+    let world = &load.world;
+    loop {
+        world.expect(&ticket);
+        {
+            let mut collected = locked(&load.collected);
+            collected.asked += 1;
+            collected.tally.asked(&ticket);
+        }
+        let end = attempt(&load, &pools, &ticket).await;
+        let now = world.now();
+        let (outcome, come_back) = match end {
+            End::Answered(outcome, come_back) => (Some(outcome), come_back),
+            End::Lost | End::Left | End::Unreached => (None, None),
+        };
+        locked(&load.collected).ended(&ticket, &end, now);
+        if matches!(outcome, Some(Outcome::Succeeded)) || matches!(end, End::Left) {
+            return;
+        }
+        let number = load.next_number.fetch_add(1, Ordering::Relaxed);
+        let Some(again) = traffic::again(&world.day, &ticket, number, now, come_back) else { return };
+        ticket = again;
+        tokio::time::sleep_until(world.clock.at(ticket.due).into()).await;
+    }
+}
+
+/// One try, on a connection that is kept or a new one.
+async fn attempt(load: &Load, pools: &Pools, ticket: &Ticket) -> End {
+    let balancer = load.front.deal(ticket.dealt);
+    let text = request(&load.world, ticket);
+    loop {
+        let kept = pools.borrow_mut()[balancer].pop();
+        let Some(stream) = kept else { break };
+        if !http::is_usable(&stream) {
+            continue;
+        }
+        match exchange(load, pools, balancer, ticket, &text, stream, true).await {
+            Some(end) => return end,
+            // It was closed as the ticket was written: nobody has read it, and it goes on a new one.
+            None => break,
+        }
+    }
+    let connected = timeout(CONNECT_WITHIN, TcpStream::connect(load.front.addresses[balancer])).await;
+    let Ok(Ok(stream)) = connected else { return End::Unreached };
+    // Without it a ticket may wait for the answer to the last.
+    let _ = stream.set_nodelay(true);
+    exchange(load, pools, balancer, ticket, &text, stream, false).await.unwrap_or(End::Lost)
+}
+
+fn request(world: &World, ticket: &Ticket) -> Vec<u8> {
+    let class = world.day.use_cases[ticket.use_case].get_ref();
+    let name = &class.name;
+    let tenant = world.day.tenants.get(ticket.tenant).map_or("lab", |tenant| &tenant.get_ref().name);
+    let (method, rest) = match class.effect {
+        Effect::Redoable => ("GET", String::new()),
+        Effect::Labelled => {
+            ("POST", format!("Idempotency-Key: {:016x}\r\nContent-Length: 0\r\n", ticket.label))
+        }
+        Effect::Irreversible => ("POST", "Content-Length: 0\r\n".to_owned()),
+    };
+    let resent = if ticket.tries > 1 { "X-Resent: 1\r\n" } else { "" };
+    format!(
+        "{method} /{name}/{} HTTP/1.1\r\nHost: lab\r\nX-Txn: {:016x}\r\nX-Lane: {name}\r\nX-Org: {tenant}\r\n\
+         X-Entity: k={}\r\nX-Remaining-Ms: {}\r\n{resent}{rest}\r\n",
+        ticket.key,
+        ticket.number,
+        ticket.key,
+        ticket.wait / 1000
+    )
+    .into_bytes()
+}
+
+/// Writes a ticket and waits for its answer. Nothing where a kept connection ended without a byte.
+async fn exchange(
+    load: &Load,
+    pools: &Pools,
+    balancer: usize,
+    ticket: &Ticket,
+    text: &[u8],
+    mut stream: TcpStream,
+    kept: bool,
+) -> Option<End> {
+    let world = &load.world;
+    let number = ticket.number;
+    if stream.write_all(text).await.is_err() {
+        return (!kept).then_some(End::Unreached);
+    }
+    let written = world.now();
+    locked(&load.collected).lateness.saturating_record(written.saturating_sub(ticket.due).max(1));
+    let hard_stop = written + ticket.wait;
+    world.note(written, Seen::Taken { ticket: number, balancer, use_case: ticket.use_case, hard_stop });
+    let until: Instant = world.clock.at(hard_stop) + WAITS_ON;
+    let leaves: Option<Instant> = ticket.leaves_after.map(|after| world.clock.at(written + after));
+    let wait_until = leaves.map_or(until, |leaves| leaves.min(until));
+    let mut heard = Vec::new();
+    let answer = tokio::time::timeout_at(wait_until.into(), http::read_answer(&mut stream, &mut heard)).await;
+    let now = world.now();
+    let answer = match answer {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) if kept && heard.is_empty() => return None,
+        Ok(Err(_)) => {
+            world.note(now, Seen::Lost { ticket: number });
+            return Some(End::Lost);
+        }
+        Err(_) if leaves.is_some_and(|leaves| leaves <= until) => {
+            world.note(now, Seen::Left { ticket: number });
+            return Some(End::Left);
+        }
+        Err(_) => return Some(End::Lost),
+    };
+    let outcome = match answer.status {
+        200 => Outcome::Succeeded,
+        429 | 503 => Outcome::Dismissed,
+        _ => Outcome::Abandoned,
+    };
+    let genuine = outcome != Outcome::Succeeded
+        || heard[answer.body.clone()] == *body(&format!("{number:016x}")).as_bytes();
+    world.note(now, Seen::Answered { ticket: number, outcome, genuine });
+    if answer.lasts {
+        pools.borrow_mut()[balancer].push(stream);
+    }
+    let come_back = answer.retry_after.filter(|after| after.is_finite() && *after >= 0.0);
+    Some(End::Answered(outcome, come_back.map(|after| (after * 1e6) as Micros)))
+}
--- /dev/null
+++ b/lab/src/figures.rs
@@ -0,0 +1,163 @@
+//! What a run found, for programs (JSON) and for people (a table).
+
+use std::fmt::Write as _;
+
+use hdrhistogram::Histogram;
+use pinefront_model::judge::Ledger;
+use pinefront_model::service::Parts;
+use serde::Serialize;
+
+use crate::clients::Collected;
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Tickets {
+    pub asked: u64,
+    pub succeeded: u64,
+    pub dismissed: u64,
+    pub abandoned: u64,
+    pub unanswered: u64,
+    pub left: u64,
+    pub unreached: u64,
+}
+
+/// Milliseconds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Times {
+    pub p50: f64,
+    pub p90: f64,
+    pub p99: f64,
+    pub max: f64,
+}
+
+impl Times {
+    pub fn of(histogram: &Histogram<u64>) -> Self {
+        let at = |part: f64| histogram.value_at_quantile(part) as f64 / 1000.0;
+        Self { p50: at(0.5), p90: at(0.9), p99: at(0.99), max: histogram.max() as f64 / 1000.0 }
+    }
+}
+
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ServiceParts {
+    pub whole: f64,
+    pub worst_10s: f64,
+    pub worst_use_case: f64,
+    pub worst_tenant: f64,
+    pub tail: f64,
+}
+
+/// One second of a day.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Second {
+    pub service: f64,
+    pub p50_ms: f64,
+    pub p90_ms: f64,
+    pub p99_ms: f64,
+}
+
+/// One run of a day.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    pub day: String,
+    pub who: String,
+    pub seed: u64,
+    pub balancers: usize,
+    pub servers: usize,
+    pub tickets: Tickets,
+    pub latency_ms: Times,
+    /// Of the load itself, from when a ticket was due to when it was written.
+    pub lateness_ms: Times,
+    /// False where the load or the machine lagged too far for the figures to count.
+    pub valid: bool,
+    pub why_invalid: Vec<String>,
+    pub service: f64,
+    pub service_parts: ServiceParts,
+    pub rules_broken: Vec<String>,
+    pub rules_broken_count: usize,
+    /// Processes that ended by themselves, with their last log lines.
+    pub deaths: Vec<String>,
+    pub cpu_us_per_ticket: f64,
+    pub memory_mb: f64,
+    pub dispatches_per_ticket: f64,
+    pub sends: Vec<u64>,
+    pub seconds: Vec<Second>,
+    /// Ended before the day was over.
+    pub cut_short: bool,
+}
+
+/// Broken rules told in full; beyond them only their number.
+const BREAKS_TOLD: usize = 20;
+
+impl Figures {
+    pub fn take(&mut self, collected: &Collected, parts: Parts, by_second: &[f64], ledger: &Ledger) {
+        let Collected { asked, succeeded, dismissed, abandoned, unanswered, left, unreached, .. } =
+            *collected;
+        self.tickets = Tickets { asked, succeeded, dismissed, abandoned, unanswered, left, unreached };
+        self.latency_ms = Times::of(&collected.latency);
+        self.lateness_ms = Times::of(&collected.lateness);
+        let Parts { whole, worst_10s, worst_use_case, worst_tenant, tail, total } = parts;
+        (self.service, self.service_parts) =
+            (total, ServiceParts { whole, worst_10s, worst_use_case, worst_tenant, tail });
+        self.rules_broken_count = ledger.breaks().len();
+        self.rules_broken = ledger.breaks().iter().take(BREAKS_TOLD).map(ToString::to_string).collect();
+        let seconds = by_second.iter().zip(&collected.by_second).map(|(service, histogram)| {
+            let times = Times::of(histogram);
+            Second { service: *service, p50_ms: times.p50, p90_ms: times.p90, p99_ms: times.p99 }
+        });
+        self.seconds = seconds.collect();
+    }
+
+    /// Whether all is as it must be, whatever the service.
+    pub fn is_sound(&self) -> bool {
+        self.rules_broken_count == 0 && self.deaths.is_empty()
+    }
+
+    pub fn table(&self) -> String {
+        let mut out = String::new();
+        let Tickets { asked, succeeded, dismissed, abandoned, unanswered, left, unreached } = self.tickets;
+        let mut line = |name: &str, text: String| {
+            // Writing to a text cannot fail.
+            let _ = writeln!(out, "  {name:<16} {text}");
+        };
+        line(
+            "tickets",
+            format!("{asked} asked, {succeeded} succeeded, {dismissed} dismissed, {abandoned} abandoned"),
+        );
+        if unanswered + left + unreached > 0 {
+            line(
+                "",
+                format!(
+                    "{unanswered} unanswered, {left} left by their clients, {unreached} reached no balancer"
+                ),
+            );
+        }
+        let Times { p50, p90, p99, max } = self.latency_ms;
+        line("answer time", format!("p50 {p50:.1} ms, p90 {p90:.1}, p99 {p99:.1}, longest {max:.1}"));
+        let parts = &self.service_parts;
+        line(
+            "service",
+            format!(
+                "{:.3} (whole {:.3}, worst 10 s {:.3}, worst use case {:.3}, tail {:.3})",
+                self.service, parts.whole, parts.worst_10s, parts.worst_use_case, parts.tail
+            ),
+        );
+        if self.cpu_us_per_ticket > 0.0 {
+            let Self { cpu_us_per_ticket: cpu, memory_mb: memory, balancers, .. } = self;
+            line("balancers", format!("{balancers}: {cpu:.0} us of CPU a ticket, {memory:.1} MB at most"));
+        }
+        line("dispatches", format!("{:.3} a ticket", self.dispatches_per_ticket));
+        line(
+            "load's lateness",
+            format!("p99 {:.2} ms, most {:.2}", self.lateness_ms.p99, self.lateness_ms.max),
+        );
+        match self.rules_broken_count {
+            0 => line("rules", "none broken".into()),
+            count => {
+                line("rules", format!("{count} BROKEN"));
+                self.rules_broken.iter().for_each(|broken| line("", broken.clone()));
+            }
+        }
+        self.deaths.iter().for_each(|death| line("DIED", death.clone()));
+        self.why_invalid.iter().for_each(|why| line("INVALID", why.clone()));
+        out
+    }
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,271 @@
+//! `pinefront-lab`: runs pinefront before stand-in servers, plays days, measures.
+
+mod balancers;
+mod baseline;
+mod clients;
+mod clock;
+mod figures;
+mod http;
+mod pace;
+mod play;
+mod stand;
+mod standing;
+mod world;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use clap::{Args, Parser, Subcommand};
+use pinefront_model::check;
+use pinefront_model::day::Day;
+
+use crate::baseline::Policy;
+use crate::figures::Figures;
+use crate::play::{Who, Wishes, play};
+
+/// Runs pinefront before stand-in servers on this machine, plays days of trouble, and measures.
+///
+/// Exit codes: 0 all is well, 1 a rule was broken, a balancer died or the lab failed, 2 a day or an argument is wrong.
+#[derive(Parser)]
+#[command(version)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serves calm traffic with the real balancer before a stand-in fleet
+    Demo(Demo),
+    /// Plays a day from a file
+    Run(Run),
+    /// Starts a stand-in fleet and discovery alone, with a page to inject faults by hand
+    Stand(Standing),
+    /// Plays a day with plain policies as stand-in balancers, to compare with
+    Baseline(Compare),
+}
+
+#[derive(Args)]
+struct Demo {
+    /// How long, such as 30s
+    #[arg(long = "for", default_value = "30s")]
+    lasts: String,
+    #[arg(long, default_value_t = 12)]
+    servers: usize,
+    #[arg(long, default_value_t = 2)]
+    balancers: usize,
+    /// Tickets a second
+    #[arg(long, default_value_t = 200.0)]
+    rate: f64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Go on until Ctrl-C
+    #[arg(long)]
+    keep_open: bool,
+    /// Write the figures to this file
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// The balancer's program; the one beside this program where none is named
+    #[arg(long)]
+    binary: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct Run {
+    day: PathBuf,
+    /// How many, in place of what the day says
+    #[arg(long)]
+    balancers: Option<usize>,
+    /// A balancer's program; two of them play in turns and are compared
+    #[arg(long)]
+    binary: Vec<PathBuf>,
+    #[arg(long)]
+    seed: Option<u64>,
+    /// How often each plays the day, with a seed more each time
+    #[arg(long)]
+    rounds: Option<u64>,
+    /// Write the figures to this file
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct Compare {
+    day: PathBuf,
+    /// All where none is named
+    #[arg(long)]
+    policy: Vec<Policy>,
+    #[arg(long)]
+    seed: Option<u64>,
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct Standing {
+    /// A day whose fleet stands in; a usual one where none is named
+    day: Option<PathBuf>,
+    #[arg(long, default_value_t = 12)]
+    servers: usize,
+    /// Where the page listens
+    #[arg(long, default_value = "127.0.0.1:0")]
+    page: std::net::SocketAddr,
+    /// Where a balancer that is started by hand will listen
+    #[arg(long, default_value = "127.0.0.1:8080")]
+    listen: std::net::SocketAddr,
+    /// Write the configuration for that balancer to this file
+    #[arg(long, default_value = "balancer.json")]
+    config: PathBuf,
+}
+
+/// Why the lab ends with an error.
+enum Failure {
+    /// A day or an argument is wrong: exit 2.
+    Wrong(String),
+    /// The lab could not do its work, or what it found is not sound: exit 1.
+    Failed(String),
+}
+
+fn read_day(path: &Path) -> Result<Day, Failure> {
+    let name = path.display().to_string();
+    let text =
+        std::fs::read_to_string(path).map_err(|problem| Failure::Wrong(format!("{name}: {problem}")))?;
+    check_day(&text, &name)
+}
+
+fn check_day(text: &str, name: &str) -> Result<Day, Failure> {
+    check::read(text, name).map_err(|problems| {
+        Failure::Wrong(problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
+    })
+}
+
+fn write_json(path: Option<&Path>, value: &impl serde::Serialize) -> Result<(), Failure> {
+    let Some(path) = path else { return Ok(()) };
+    let text = serde_json::to_string_pretty(value).map_err(|problem| Failure::Failed(problem.to_string()))?;
+    std::fs::write(path, text + "\n")
+        .map_err(|problem| Failure::Failed(format!("{}: {problem}", path.display())))
+}
+
+fn played(day: &Day, seed: u64, who: &Who, wishes: &Wishes) -> Result<Figures, Failure> {
+    let figures = play(day, seed, who, wishes).map_err(Failure::Failed)?;
+    println!("{} with {}, seed {seed}:\n{}", day.name, who.name(), figures.table());
+    Ok(figures)
+}
+
+fn sound(figures: &[&Figures]) -> Result<(), Failure> {
+    match figures.iter().all(|figures| figures.is_sound()) {
+        true => Ok(()),
+        false => Err(Failure::Failed("a rule was broken or a balancer died; see above".into())),
+    }
+}
+
+fn demo(demo: &Demo, over: &Arc<AtomicBool>) -> Result<(), Failure> {
+    let lasts = if demo.keep_open { "24h" } else { &demo.lasts };
+    let text = format!(
+        "name = \"demo\"\nlength = \"{lasts}\"\nbalancers = {}\nseed = {}\n[fleet]\nservers = {}\n[traffic]\nrate = {:?}\n",
+        demo.balancers, demo.seed, demo.servers, demo.rate
+    );
+    let day = check_day(&text, "demo")?;
+    let who = Who::Binary(demo.binary.clone().unwrap_or_else(balancers::own_binary));
+    let wishes = Wishes { live: true, by_hand: true, over: Arc::clone(over) };
+    let figures = played(&day, day.seed, &who, &wishes)?;
+    write_json(demo.json.as_deref(), &figures)?;
+    sound(&[&figures])
+}
+
+fn run(run: &Run, over: &Arc<AtomicBool>) -> Result<(), Failure> {
+    let mut day = read_day(&run.day)?;
+    if let Some(balancers) = run.balancers {
+        *day.balancers.as_mut() = balancers;
+    }
+    let binaries = match run.binary.is_empty() {
+        true => vec![balancers::own_binary()],
+        false => run.binary.clone(),
+    };
+    let wishes = Wishes { live: true, by_hand: false, over: Arc::clone(over) };
+    let first = run.seed.unwrap_or(day.seed);
+    let mut all: Vec<Vec<Figures>> = binaries.iter().map(|_| Vec::new()).collect();
+    for round in 0..run.rounds.unwrap_or(1) {
+        for (binary, found) in binaries.iter().zip(&mut all) {
+            if !over.load(Ordering::Relaxed) {
+                found.push(played(&day, first + round, &Who::Binary(binary.clone()), &wishes)?);
+            }
+        }
+    }
+    match all.as_slice() {
+        [only] if only.len() == 1 => write_json(run.json.as_deref(), &only[0])?,
+        _ => write_json(run.json.as_deref(), &all)?,
+    }
+    sound(&all.iter().flatten().collect::<Vec<_>>())
+}
+
+fn stand(standing: &Standing, over: &Arc<AtomicBool>) -> Result<(), Failure> {
+    let day = match &standing.day {
+        Some(path) => read_day(path)?,
+        None => check_day(
+            &format!(
+                "name = \"stand\"\nlength = \"24h\"\nbalancers = 1\n[fleet]\nservers = {}\n",
+                standing.servers
+            ),
+            "stand",
+        )?,
+    };
+    standing::stand_alone(&day, standing.page, standing.listen, &standing.config, over)
+        .map_err(Failure::Failed)
+}
+
+fn compare(compare: &Compare, over: &Arc<AtomicBool>) -> Result<(), Failure> {
+    let day = read_day(&compare.day)?;
+    let policies = if compare.policy.is_empty() { Policy::ALL.to_vec() } else { compare.policy.clone() };
+    let wishes = Wishes { live: true, by_hand: false, over: Arc::clone(over) };
+    let mut all = Vec::new();
+    for policy in policies {
+        if !over.load(Ordering::Relaxed) {
+            all.push(played(&day, compare.seed.unwrap_or(day.seed), &Who::Policy(policy), &wishes)?);
+        }
+    }
+    write_json(compare.json.as_deref(), &all)
+}
+
+/// Ctrl-C or SIGTERM ends the day early: what was found so far is told all the same.
+fn watch_signals(over: &Arc<AtomicBool>) {
+    let over = Arc::clone(over);
+    std::thread::spawn(move || {
+        let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
+        runtime.block_on(async {
+            let term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate());
+            let Ok(mut term) = term else { return };
+            tokio::select! {
+                _ = tokio::signal::ctrl_c() => {}
+                _ = term.recv() => {}
+            }
+            over.store(true, Ordering::Relaxed);
+        });
+    });
+}
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    play::raise_descriptors();
+    let over = Arc::new(AtomicBool::new(false));
+    watch_signals(&over);
+    let done = match &line.command {
+        Command::Demo(options) => demo(options, &over),
+        Command::Run(options) => run(options, &over),
+        Command::Stand(options) => stand(options, &over),
+        Command::Baseline(options) => compare(options, &over),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Wrong(problem)) => {
+            eprintln!("pinefront-lab: {problem}");
+            ExitCode::from(2)
+        }
+        Err(Failure::Failed(problem)) => {
+            eprintln!("pinefront-lab: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/play.rs
@@ -0,0 +1,380 @@
+//! Plays a day: world, balancers and load together, from the first ticket to the last answer.
+
+use std::io::{self, IsTerminal, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use pinefront_model::day::Day;
+use pinefront_model::faults::What;
+use pinefront_model::judge::Seen;
+use pinefront_model::traffic::Arrivals;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+
+use crate::balancers::{Balancer, own_binary, wait_ready};
+use crate::baseline::{self, Policy};
+use crate::clients::{Load, worker};
+use crate::figures::Figures;
+use crate::pace::{self, pace};
+use crate::stand;
+use crate::world::{World, locked};
+
+/// Threads of the world's stand-ins, and of the load.
+const WORLD_THREADS: usize = 3;
+const LOAD_THREADS: usize = 2;
+/// How long after a balancer's death the front deals it no more tickets, and after it was told to stop.
+const DEATH_SEEN: Duration = Duration::from_secs(1);
+const STOP_SEEN: Duration = Duration::from_millis(300);
+/// After the last answer, how long what is still under way may come in.
+const RUNS_OUT: Duration = Duration::from_millis(300);
+const LOOKS_APART: Duration = Duration::from_millis(100);
+/// How long the load may take to end once it was told to.
+const LOAD_ENDS: Duration = Duration::from_secs(12);
+/// Lateness of the load's 99th percentile beyond which a day does not count.
+const LATE_MS: f64 = 20.0;
+const LIVE_APART: Duration = Duration::from_millis(500);
+
+/// Who balances.
+#[derive(Clone, Debug)]
+pub enum Who {
+    Binary(PathBuf),
+    /// A plain policy, as a stand-in of the lab.
+    Policy(Policy),
+}
+
+impl Who {
+    pub fn name(&self) -> String {
+        match self {
+            Self::Binary(path) if *path == own_binary() => "pinefront".to_owned(),
+            Self::Binary(path) => path.display().to_string(),
+            Self::Policy(policy) => policy.name().to_owned(),
+        }
+    }
+}
+
+/// What is wanted beside the day itself.
+#[derive(Clone, Default)]
+pub struct Wishes {
+    /// A line that is kept up to date on a terminal.
+    pub live: bool,
+    /// Says how to ask a balancer by hand.
+    pub by_hand: bool,
+    /// Set from outside to end the day early.
+    pub over: Arc<AtomicBool>,
+}
+
+/// A folder of this run's own, gone with it.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> io::Result<Self> {
+        static COUNT: AtomicU64 = AtomicU64::new(0);
+        let name = format!("pinefront-lab-{}-{}", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir(&path)?;
+        Ok(Self(path))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // What cannot be taken away is left to whoever clears the temporary folder.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+pub fn runtime() -> io::Result<Runtime> {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(WORLD_THREADS).enable_all().build()
+}
+
+/// Lets this process open as many descriptors as the system allows it.
+pub fn raise_descriptors() {
+    use rustix::process::{Resource, getrlimit, setrlimit};
+    let mut limit = getrlimit(Resource::Nofile);
+    limit.current = limit.maximum;
+    // Where it may not, the usual number must do, and a want of them is said where it shows.
+    let _ = setrlimit(Resource::Nofile, limit);
+}
+
+/// Starts all servers of a world.
+pub async fn start_servers(world: &Arc<World>) -> Result<(), String> {
+    for number in 0..world.stands().len() {
+        stand::server(world, number, false)
+            .await
+            .map_err(|problem| format!("cannot start the stand-in of server {number}: {problem}"))?;
+    }
+    Ok(())
+}
+
+/// Moves a world along its timeline. What concerns balancers is handed on.
+pub async fn drive(world: Arc<World>, balancers: mpsc::UnboundedSender<What>) {
+    let mut done = 0;
+    loop {
+        let (event, edge) = {
+            let line = world.line();
+            (line.events.get(done).copied(), line.next_edge(world.now()))
+        };
+        let next = event.map(|(at, _)| at).into_iter().chain(edge).min();
+        let latest = Instant::now() + Duration::from_secs(1);
+        let until = next.map_or(latest, |next| world.clock.at(next).min(latest));
+        tokio::select! {
+            () = tokio::time::sleep_until(until.into()) => {}
+            () = world.added.notified() => {}
+        }
+        world.apply_conditions();
+        loop {
+            let event = world.line().events.get(done).copied();
+            let Some((_, what)) = event.filter(|(at, _)| *at <= world.now()) else { break };
+            done += 1;
+            if matches!(what, What::BalancerKilled(_) | What::BalancerStopped(_) | What::BalancerStarts(_)) {
+                // Nobody listens once the day is over.
+                let _ = balancers.send(what);
+                continue;
+            }
+            for number in world.happens(what) {
+                if let Err(problem) = stand::server(&world, number, true).await {
+                    eprintln!("pinefront-lab: cannot start the stand-in of server {number}: {problem}");
+                }
+            }
+        }
+    }
+}
+
+/// The balancers of a day, whoever they are.
+struct Balancing {
+    children: Arc<Mutex<Vec<Balancer>>>,
+    addresses: Vec<SocketAddr>,
+    _folder: Folder,
+}
+
+async fn start_balancers(world: &Arc<World>, who: &Who) -> Result<Balancing, String> {
+    let folder = Folder::new().map_err(|problem| format!("cannot make a folder for this run: {problem}"))?;
+    let children = Arc::new(Mutex::new(Vec::new()));
+    let mut addresses = Vec::new();
+    for number in 0..*world.day.balancers.get_ref() {
+        let discovery = stand::discovery(world, number)
+            .await
+            .map_err(|problem| format!("cannot start discovery: {problem}"))?;
+        match who {
+            Who::Policy(policy) => {
+                let address = baseline::start(world, *policy, number).await;
+                addresses
+                    .push(address.map_err(|problem| format!("cannot start a stand-in balancer: {problem}"))?);
+            }
+            Who::Binary(binary) => {
+                let child = Balancer::new(&world.day, world.seed, number, binary, &folder.0, discovery);
+                let mut child =
+                    child.map_err(|problem| format!("cannot set up balancer {number}: {problem}"))?;
+                child.start().map_err(|problem| format!("cannot start a balancer: {problem}"))?;
+                addresses.push(child.listen);
+                locked(&children).push(child);
+            }
+        }
+    }
+    let count = locked(&children).len();
+    for number in 0..count {
+        wait_ready(&children, number).await?;
+    }
+    Ok(Balancing { children, addresses, _folder: folder })
+}
+
+/// Kills, stops and starts balancers as the day says.
+async fn balancer_events(
+    load: Arc<Load>,
+    children: Arc<Mutex<Vec<Balancer>>>,
+    mut events: mpsc::UnboundedReceiver<What>,
+) {
+    while let Some(what) = events.recv().await {
+        let (load, children) = (Arc::clone(&load), Arc::clone(&children));
+        tokio::spawn(async move {
+            match what {
+                What::BalancerKilled(balancer) => {
+                    load.world.note(load.world.now(), Seen::Killed { balancer });
+                    if let Some(child) = locked(&children).get_mut(balancer) {
+                        child.kill();
+                    }
+                    load.world.note(load.world.now(), Seen::Killed { balancer });
+                    tokio::time::sleep(DEATH_SEEN).await;
+                    load.front.set(balancer, false);
+                }
+                What::BalancerStopped(balancer) => {
+                    if let Some(child) = locked(&children).get_mut(balancer) {
+                        child.tell_to_end();
+                    }
+                    tokio::time::sleep(STOP_SEEN).await;
+                    load.front.set(balancer, false);
+                }
+                What::BalancerStarts(balancer) => {
+                    let started = match locked(&children).get_mut(balancer) {
+                        Some(child) => {
+                            // One that was told to stop and has not is killed first, as an operator would.
+                            if child.is_running() && !child.has_died() {
+                                load.world.note(load.world.now(), Seen::Killed { balancer });
+                                child.kill();
+                            }
+                            child.start()
+                        }
+                        None => Ok(()),
+                    };
+                    let ready = match started {
+                        Ok(()) => wait_ready(&children, balancer).await,
+                        Err(problem) => Err(problem.to_string()),
+                    };
+                    match ready {
+                        Ok(()) => load.front.set(balancer, true),
+                        Err(problem) => eprintln!("pinefront-lab: {problem}"),
+                    }
+                }
+                _ => {}
+            }
+        });
+    }
+}
+
+/// Plays a day from start to end and tells what was found.
+pub fn play(day: &Day, seed: u64, who: &Who, wishes: &Wishes) -> Result<Figures, String> {
+    let runtime = runtime().map_err(|problem| format!("cannot start threads: {problem}"))?;
+    let world = Arc::new(World::new(day.clone(), seed));
+    let figures = runtime.block_on(async {
+        start_servers(&world).await?;
+        let balancing = start_balancers(&world, who).await?;
+        Ok::<_, String>(balancing)
+    });
+    let balancing = match figures {
+        Ok(balancing) => balancing,
+        Err(problem) => {
+            runtime.shutdown_background();
+            return Err(problem);
+        }
+    };
+    let load = Arc::new(Load::new(Arc::clone(&world), balancing.addresses.clone()));
+    let before: u64 = locked(&balancing.children).iter().map(|child| child.used().cpu_us).sum();
+    if wishes.by_hand {
+        by_hand(&world, &balancing);
+    }
+    world.clock.begin();
+    let (events, seen) = mpsc::unbounded_channel();
+    runtime.spawn(drive(Arc::clone(&world), events));
+    runtime.spawn(balancer_events(Arc::clone(&load), Arc::clone(&balancing.children), seen));
+    let dropped = carry_load(&load, &balancing, wishes)?;
+    std::thread::sleep(RUNS_OUT);
+    locked(&world.ledger).finish(world.now());
+    let (mut cpu, mut memory, mut deaths) = (0, 0, Vec::new());
+    for child in locked(&balancing.children).iter_mut() {
+        let used = child.used();
+        cpu += used.cpu_us;
+        memory = memory.max(used.memory_kb);
+        child.end();
+        deaths.append(&mut child.deaths);
+    }
+    runtime.shutdown_background();
+    let collected = locked(&load.collected);
+    let sends: Vec<u64> = world.stands().iter().map(|stand| stand.sends.load(Ordering::Relaxed)).collect();
+    let asked = collected.asked.max(1) as f64;
+    let mut found = Figures {
+        day: day.name.clone(),
+        who: who.name(),
+        seed,
+        balancers: *day.balancers.get_ref(),
+        servers: sends.len(),
+        deaths,
+        cpu_us_per_ticket: cpu.saturating_sub(before) as f64 / asked,
+        memory_mb: memory as f64 / 1024.0,
+        dispatches_per_ticket: sends.iter().sum::<u64>() as f64 / asked,
+        sends,
+        cut_short: wishes.over.load(Ordering::Relaxed),
+        ..Figures::default()
+    };
+    let tally = &collected.tally;
+    found.take(&collected, tally.parts(day), &tally.by_second(day), &locked(&world.ledger));
+    if found.lateness_ms.p99 > LATE_MS {
+        found.why_invalid.push(format!("the load itself was late: p99 {:.1} ms", found.lateness_ms.p99));
+    }
+    if dropped > 0 {
+        found.why_invalid.push(format!("{dropped} tickets were never sent: the load could not keep up"));
+    }
+    found.valid = found.why_invalid.is_empty();
+    Ok(found)
+}
+
+/// Runs the load's threads until the day is over. How many tickets they could not take.
+fn carry_load(load: &Arc<Load>, balancing: &Balancing, wishes: &Wishes) -> Result<u64, String> {
+    let world = &load.world;
+    let (mut senders, mut workers) = (Vec::new(), Vec::new());
+    for _ in 0..LOAD_THREADS {
+        let (sender, due) = mpsc::channel(pace::QUEUE);
+        senders.push(sender);
+        let load = Arc::clone(load);
+        workers.push(std::thread::spawn(move || worker(&load, due)));
+    }
+    let dropped = Arc::new(AtomicU64::new(0));
+    let pacing = {
+        let (world, over, dropped) = (Arc::clone(world), Arc::clone(&wishes.over), Arc::clone(&dropped));
+        std::thread::spawn(move || {
+            let line = world.line().clone();
+            let due = Arrivals::new(&world.day, &line, world.seed);
+            pace(due.map(|ticket| (world.clock.at(ticket.due), ticket)), &senders, &over, &dropped);
+        })
+    };
+    let live = wishes.live && io::stderr().is_terminal();
+    let (mut told, mut ends) = (Instant::now(), None);
+    while workers.iter().any(|worker| !worker.is_finished()) {
+        std::thread::sleep(LOOKS_APART);
+        for child in locked(&balancing.children).iter_mut() {
+            if child.has_died() && !child.deaths.is_empty() {
+                load.front.set(child.number, false);
+            }
+        }
+        if live && told.elapsed() >= LIVE_APART {
+            told = Instant::now();
+            tell_live(load);
+        }
+        if pacing.is_finished() && Instant::now() > *ends.get_or_insert_with(|| Instant::now() + LOAD_ENDS) {
+            break;
+        }
+    }
+    if live {
+        eprintln!();
+    }
+    let failed =
+        workers.into_iter().filter(|worker| worker.is_finished()).find_map(|worker| match worker.join() {
+            Ok(Ok(())) => None,
+            Ok(Err(problem)) => Some(format!("the load failed: {problem}")),
+            Err(_) => Some("the load failed".into()),
+        });
+    failed.map_or(Ok(dropped.load(Ordering::Relaxed)), Err)
+}
+
+fn tell_live(load: &Load) {
+    let collected = locked(&load.collected);
+    let (asked, p99) = (collected.asked, collected.latency.value_at_quantile(0.99) as f64 / 1000.0);
+    let text = format!(
+        "\r{:>4} s  {asked} asked  {} succeeded  {} dismissed  {} abandoned  p99 {p99:.0} ms  {} rules broken   ",
+        load.world.now() / 1_000_000,
+        collected.succeeded,
+        collected.dismissed,
+        collected.abandoned,
+        locked(&load.world.ledger).breaks().len(),
+    );
+    drop(collected);
+    // A terminal that is gone needs no line.
+    let _ = io::stderr().write_all(text.as_bytes());
+}
+
+fn by_hand(world: &World, balancing: &Balancing) {
+    let Some(address) = balancing.addresses.first() else { return };
+    let redoable = world
+        .day
+        .use_cases
+        .iter()
+        .find(|class| class.get_ref().effect == pinefront_model::day::Effect::Redoable);
+    if let Some(class) = redoable {
+        let name = &class.get_ref().name;
+        eprintln!("Ask a balancer yourself while this runs (a new X-Txn each time):");
+        eprintln!("  curl -i -H \"X-Txn: me-$RANDOM\" -H 'X-Remaining-Ms: 1000' http://{address}/{name}/1");
+    }
+    eprintln!("Its counters: curl http://{address}/stats");
+}
--- /dev/null
+++ b/lab/src/stand.rs
@@ -0,0 +1,291 @@
+//! Servers and discovery on loopback sockets.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pinefront_model::Micros;
+use pinefront_model::discovery::State;
+use pinefront_model::faults::Telling;
+use pinefront_model::judge::Seen;
+use pinefront_model::server::How;
+use serde_json::json;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{sleep_until, timeout};
+
+use crate::http;
+use crate::world::{Stand, World};
+
+/// The longest that a watch waits, whatever it asks for.
+const WATCH_MOST: Duration = Duration::from_secs(60);
+/// How long a stand-in without a next moment sleeps before it looks again all the same.
+const LOOKS_AT_LEAST: Duration = Duration::from_secs(1);
+
+/// Starts a server's stand-in on a new address. It ends when the server's life does.
+pub async fn server(world: &Arc<World>, number: usize, told: bool) -> io::Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let Some(stand) = world.stand(number) else { return Ok(()) };
+    world.listens(number, listener.local_addr()?, told);
+    let life = *stand.life.borrow();
+    tokio::spawn(timer(Arc::clone(world), Arc::clone(&stand), life));
+    let world = Arc::clone(world);
+    tokio::spawn(async move {
+        let mut lives = stand.life.subscribe();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => {
+                        let (world, stand) = (Arc::clone(&world), Arc::clone(&stand));
+                        tokio::spawn(async move { connection(&world, &stand, stream, life).await });
+                    }
+                    // Out of descriptors, likely: others end meanwhile.
+                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                },
+                () = life_ends(&mut lives, life) => return,
+            }
+        }
+    });
+    Ok(())
+}
+
+/// Waits until a server's life is over.
+async fn life_ends(lives: &mut watch::Receiver<u64>, life: u64) {
+    // The sender lives as long as the server, so an error means that all is over.
+    let _ = lives.wait_for(|now| *now != life).await;
+}
+
+/// Looks at the server whenever something happens there by itself.
+async fn timer(world: Arc<World>, stand: Arc<Stand>, life: u64) {
+    let mut lives = stand.life.subscribe();
+    loop {
+        let latest = tokio::time::Instant::now() + LOOKS_AT_LEAST;
+        let next = world.advance(&stand).map_or(latest, |next| world.clock.at(next).into());
+        tokio::select! {
+            () = sleep_until(next) => {}
+            () = stand.look.notified() => {}
+            () = life_ends(&mut lives, life) => return,
+        }
+    }
+}
+
+async fn connection(world: &World, stand: &Stand, mut stream: TcpStream, life: u64) {
+    if !stand.with(pinefront_model::server::Server::connect) {
+        return http::reset(stream);
+    }
+    // Without it answers in two writes would wait for each other.
+    let _ = stream.set_nodelay(true);
+    let mut lives = stand.life.subscribe();
+    let over = tokio::select! {
+        over = carry(world, stand, &mut stream) => over,
+        () = life_ends(&mut lives, life) => Over::Reset,
+    };
+    if *stand.life.borrow() == life {
+        stand.with(pinefront_model::server::Server::disconnect);
+    }
+    if over == Over::Reset {
+        http::reset(stream);
+    }
+}
+
+/// How a connection ends.
+#[derive(PartialEq, Eq)]
+enum Over {
+    Closed,
+    Reset,
+}
+
+/// Takes tickets on a connection, one after the other, until it ends.
+async fn carry(world: &World, stand: &Stand, stream: &mut TcpStream) -> Over {
+    let idle = Duration::from_micros(world.day.fleet.idle.0);
+    let mut kept = Vec::new();
+    let mut handshake = world.day.fleet.handshake.0 as f64;
+    loop {
+        let mut began: Option<Micros> = (!kept.is_empty()).then(|| world.now());
+        let asked = loop {
+            match if kept.is_empty() { Ok(None) } else { http::asked(&kept) } {
+                Ok(Some(asked)) => break asked,
+                Ok(None) => {}
+                Err(_) => return Over::Closed,
+            }
+            match timeout(idle, http::more(stream, &mut kept)).await {
+                Ok(Ok(true)) => _ = began.get_or_insert_with(|| world.now()),
+                // It ended, broke, or stood idle for too long.
+                _ => return Over::Closed,
+            }
+        };
+        let began = began.unwrap_or_else(|| world.now());
+        kept.drain(..asked.end);
+        let Some(id) = asked.id else {
+            if http::answer(stream, "404 Not Found", "", "no ticket\n").await.is_err() {
+                return Over::Reset;
+            }
+            continue;
+        };
+        let (known, Some(ticket)) = world.ticket(&id, &asked.path) else {
+            if http::answer(stream, "400 Bad Request", "", "no such ticket\n").await.is_err() {
+                return Over::Reset;
+            }
+            continue;
+        };
+        let (job, answer) = world.sent(stand, known, &ticket, began, std::mem::take(&mut handshake));
+        let how = tokio::select! {
+            how = answer => how.unwrap_or(How::Died),
+            // More bytes are no end: they are kept for the next ticket. An end is a call off.
+            () = ended(stream, &mut kept) => {
+                world.called_off(stand, job);
+                return Over::Closed;
+            }
+        };
+        let written = match how {
+            How::Answered => succeeded(world, stand, stream, &id).await,
+            How::Spoilt => {
+                spoilt(world, stream, &id).await;
+                return Over::Closed;
+            }
+            How::Full => {
+                http::answer(stream, "503 Service Unavailable", "X-Turned-Away: 1\r\n", "full\n").await
+            }
+            How::Failed => http::answer(stream, "500 Internal Server Error", "", "failed\n").await,
+            How::Reset | How::Died => return Over::Reset,
+            How::Swallowed => {
+                ended(stream, &mut kept).await;
+                return Over::Closed;
+            }
+        };
+        if written.is_err() {
+            return Over::Reset;
+        }
+    }
+}
+
+/// Waits until the other side ends the connection or its sending on it.
+async fn ended(stream: &mut TcpStream, kept: &mut Vec<u8>) {
+    while let Ok(true) = http::more(stream, kept).await {}
+}
+
+async fn succeeded(world: &World, stand: &Stand, stream: &mut TcpStream, id: &str) -> io::Result<()> {
+    let load = stand.report(world.now()).map_or_else(String::new, |load| {
+        format!(
+            "X-Pressure: TEXT inflight={}, queue={}, util={:.2}\r\n",
+            load.in_flight, load.queue, load.utilisation
+        )
+    });
+    http::answer(stream, "200 OK", &load, &body(id)).await
+}
+
+/// The body that a server makes for a ticket.
+pub fn body(id: &str) -> String {
+    format!("{id} served\n")
+}
+
+/// An answer that nobody can take for a whole one: cut short, no HTTP, or a length that contradicts itself.
+async fn spoilt(world: &World, stream: &mut TcpStream, id: &str) {
+    let body = body(id);
+    let text = match world.draw(3) {
+        0 => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len() + 40),
+        1 => format!("\u{1}\u{2}/9.9 OK 200\r\n\r\n{body}"),
+        _ => format!("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 90\r\n\r\n{body}"),
+    };
+    // The connection ends either way.
+    let _ = stream.write_all(text.as_bytes()).await;
+}
+
+/// Starts discovery for one balancer, on an address of its own so that the judge knows whom it told.
+pub async fn discovery(world: &Arc<World>, balancer: usize) -> io::Result<std::net::SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let world = Arc::clone(world);
+    tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => _ = tokio::spawn(calls(Arc::clone(&world), balancer, stream)),
+                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            }
+        }
+    });
+    Ok(address)
+}
+
+/// Answers calls for the list on one connection.
+async fn calls(world: Arc<World>, balancer: usize, mut stream: TcpStream) {
+    let mut kept = Vec::new();
+    loop {
+        let asked = match if kept.is_empty() { Ok(None) } else { http::asked(&kept) } {
+            Ok(Some(asked)) => asked,
+            Ok(None) => match http::more(&mut stream, &mut kept).await {
+                Ok(true) => continue,
+                _ => return,
+            },
+            Err(_) => return,
+        };
+        kept.drain(..asked.end);
+        let number = |name: &str| -> Option<u64> {
+            let query = asked.path.split_once('?')?.1;
+            query.split('&').find_map(|part| part.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+        };
+        let (since, wait) = (number("since"), Duration::from_millis(number("timeout_ms").unwrap_or(0)));
+        if let Some(since) = since {
+            wait_for_news(&world, since, wait.min(WATCH_MOST)).await;
+        }
+        match world.line().telling(world.now()) {
+            Telling::Gone => return http::reset(stream),
+            Telling::Fine | Telling::Stale(_) => {}
+        }
+        if tell(&world, balancer, &mut stream, since).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The moment whose list discovery tells now.
+fn told_moment(world: &World) -> Micros {
+    match world.line().telling(world.now()) {
+        Telling::Stale(by) => world.now().saturating_sub(by),
+        _ => world.now(),
+    }
+}
+
+async fn wait_for_news(world: &World, since: u64, wait: Duration) {
+    let until = tokio::time::Instant::now() + wait;
+    let mut listed = world.listed.subscribe();
+    loop {
+        listed.mark_unchanged();
+        let moment = told_moment(world);
+        let (version, next) =
+            world.with_registry(|registry| (registry.version(moment), registry.next(since)));
+        if version > since || world.line().telling(world.now()) == Telling::Gone {
+            return;
+        }
+        // Staleness begins and ends by itself, so it is looked at now and then.
+        let latest = tokio::time::Instant::now() + LOOKS_AT_LEAST;
+        let next = next.map_or(latest, |next| tokio::time::Instant::from(world.clock.at(next)).min(latest));
+        tokio::select! {
+            () = sleep_until(next.min(until)) => {}
+            _ = listed.changed() => {}
+        }
+        if tokio::time::Instant::now() >= until {
+            return;
+        }
+    }
+}
+
+async fn tell(world: &World, balancer: usize, stream: &mut TcpStream, since: Option<u64>) -> io::Result<()> {
+    let moment = told_moment(world);
+    let (version, entries) = world.with_registry(|registry| match since {
+        Some(since) => registry.since(moment, since),
+        None => registry.list(moment),
+    });
+    let targets: Vec<_> = entries.iter().filter_map(|entry| world.entry(entry)).collect();
+    let body = json!({"rev": version, "all": since.is_none(), "targets": targets}).to_string();
+    http::answer(stream, "200 OK", "", &body).await?;
+    let now = world.now();
+    let told = |server, drains| world.note(now, Seen::Told { balancer, server, drains });
+    if since.is_none() {
+        let named = |server: &usize| entries.iter().all(|entry| entry.server != *server);
+        (0..world.stands().len()).filter(named).for_each(|server| told(server, true));
+    }
+    entries.iter().for_each(|entry| told(entry.server, entry.state != State::Active));
+    Ok(())
+}
