--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -10,6 +10,7 @@
 mod overhead;
 mod pace;
 mod play;
+mod report;
 mod stand;
 mod standing;
 mod world;
@@ -96,6 +97,9 @@
     /// Write the figures to this file
     #[arg(long)]
     json: Option<PathBuf>,
+    /// Write a page with plots into this folder
+    #[arg(long)]
+    report: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -104,10 +108,17 @@
     /// All where none is named
     #[arg(long)]
     policy: Vec<Policy>,
+    /// Play it with this balancer as well; the one beside this program where none is named
+    #[arg(long, num_args = 0..=1, default_missing_value = "")]
+    with: Option<PathBuf>,
     #[arg(long)]
     seed: Option<u64>,
+    /// Write the figures to this file
     #[arg(long)]
     json: Option<PathBuf>,
+    /// Write a page with plots into this folder
+    #[arg(long)]
+    report: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -224,6 +235,22 @@
     }
 }
 
+/// Mean of the second less the first, pair by pair, and the standard deviation of that.
+fn difference(first: &[Figures], second: &[Figures], of: impl Fn(&Figures) -> f64) -> (f64, f64) {
+    let each: Vec<f64> = first.iter().zip(second).map(|(a, b)| of(b) - of(a)).collect();
+    let count = each.len().max(1) as f64;
+    let mean = each.iter().sum::<f64>() / count;
+    let squares: f64 = each.iter().map(|one| (one - mean) * (one - mean)).sum();
+    (mean, (squares / (count - 1.0).max(1.0)).sqrt())
+}
+
+fn write_report(folder: Option<&Path>, day: &Day, runs: &[&Figures]) -> Result<(), Failure> {
+    let Some(folder) = folder else { return Ok(()) };
+    let path = report::write(folder, day, runs).map_err(Failure::Failed)?;
+    println!("report: {}", path.display());
+    Ok(())
+}
+
 fn demo(demo: &Demo, over: &Arc<AtomicBool>) -> Result<(), Failure> {
     let lasts = if demo.keep_open { "24h" } else { &demo.lasts };
     let text = format!(
@@ -259,9 +286,30 @@
     }
     match all.as_slice() {
         [only] if only.len() == 1 => write_json(run.json.as_deref(), &only[0])?,
+        [first, second] => {
+            let (service, cpu) = (
+                difference(first, second, |f| f.service),
+                difference(first, second, |f| f.cpu_us_per_ticket),
+            );
+            println!("second less first, mean and spread over {} pairs:", first.len().min(second.len()));
+            println!(
+                "  service  {:+.4} (spread {:.4})\n  CPU us   {:+.1} (spread {:.1})",
+                service.0, service.1, cpu.0, cpu.1
+            );
+            write_json(
+                run.json.as_deref(),
+                &serde_json::json!({
+                    "first": first, "second": second,
+                    "service_difference": service.0, "service_spread": service.1,
+                    "cpu_us_difference": cpu.0, "cpu_us_spread": cpu.1,
+                }),
+            )?;
+        }
         _ => write_json(run.json.as_deref(), &all)?,
     }
-    sound(&all.iter().flatten().collect::<Vec<_>>())
+    let all: Vec<_> = all.iter().flatten().collect();
+    write_report(run.report.as_deref(), &day, &all)?;
+    sound(&all)
 }
 
 fn stand(standing: &Standing, over: &Arc<AtomicBool>) -> Result<(), Failure> {
@@ -375,12 +423,33 @@
     let day = read_day(&compare.day)?;
     let policies = if compare.policy.is_empty() { Policy::ALL.to_vec() } else { compare.policy.clone() };
     let wishes = Wishes { live: true, by_hand: false, over: Arc::clone(over) };
+    let binary = compare.with.as_ref().map(|path| match path.as_os_str().is_empty() {
+        true => balancers::own_binary(),
+        false => path.clone(),
+    });
+    let whos = binary.map(Who::Binary).into_iter().chain(policies.into_iter().map(Who::Policy));
     let mut all = Vec::new();
-    for policy in policies {
+    for who in whos {
         if !over.load(Ordering::Relaxed) {
-            all.push(played(&day, compare.seed.unwrap_or(day.seed), &Who::Policy(policy), &wishes)?);
+            all.push(played(&day, compare.seed.unwrap_or(day.seed), &who, &wishes)?);
         }
     }
+    println!(
+        "| who | service | succeeded | p50 ms | p99 ms | rules broken |\n| --- | --- | --- | --- | --- | --- |"
+    );
+    for run in &all {
+        let (times, part) = (&run.latency_ms, run.tickets.succeeded as f64 / run.tickets.asked.max(1) as f64);
+        println!(
+            "| {} | {:.3} | {:.1} % | {:.0} | {:.0} | {} |",
+            run.who,
+            run.service,
+            100.0 * part,
+            times.p50,
+            times.p99,
+            run.rules_broken_count
+        );
+    }
+    write_report(compare.report.as_deref(), &day, &all.iter().collect::<Vec<_>>())?;
     write_json(compare.json.as_deref(), &all)
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -260,8 +260,8 @@
             return self.send(now, ticket, u, None);
         }
         let rows = self.features(now, ticket, &ready);
-        let score = |(row, u)| (softplus(dot(&self.weights, &row)), row, u);
-        let mut scored: Vec<_> = rows.into_iter().zip(ready).map(score).collect();
+        let score = |row| softplus(dot(&self.weights, row));
+        let mut scored: Vec<(f64, usize)> = rows.iter().map(score).zip(0..).collect();
         scored.sort_by(|a, b| b.0.total_cmp(&a.0));
         let priorities: Vec<f64> = scored.iter().map(|s| s.0).collect();
         let chances = project(&priorities, top(scored.len()));
@@ -271,10 +271,10 @@
             left < 0.0
         };
         let drawn = chances.iter().position(beyond).unwrap_or(0);
-        let Some((chance, u)) = chances.get(drawn).map(|chance| (*chance, scored[drawn].2)) else {
+        let Some((chance, u)) = chances.get(drawn).map(|chance| (*chance, ready[scored[drawn].1])) else {
             return false;
         };
-        let rows = scored.into_iter().map(|s| s.1).collect();
+        let rows = scored.into_iter().map(|s| rows[s.1]).collect();
         self.send(now, ticket, u, Some(Scene { rows, drawn, chance }))
     }
 
@@ -282,34 +282,46 @@
     /// serve upstreams of any speed and fleets of any size; what was never heard is the others' mean, 0.
     fn features(&self, now: Micros, ticket: &Ticket, ready: &[usize]) -> Vec<[f64; FEATURES]> {
         let ups = &self.upstreams;
-        let gather = |known: &dyn Fn(&Upstream) -> Option<f64>| -> Vec<f64> {
-            relative(&ready.iter().map(|&u| known(&ups[u])).collect::<Vec<_>>(), WIDEST)
+        let gather = |known: &dyn Fn(usize, &Upstream) -> Option<f64>| -> Vec<f64> {
+            let each = ready.iter().enumerate().map(|(i, &u)| known(i, &ups[u]));
+            relative(&each.collect::<Vec<_>>(), WIDEST)
         };
         let (heard, (_, sharers)) = (self.heard_within(now), self.circle());
+        // What is usual for each machine type is looked up once, not for each candidate.
+        let mut usual: Vec<(u64, Option<f64>)> = Vec::new();
+        for &u in ready {
+            let kind = ups[u].kind;
+            if usual.iter().all(|known| known.0 != kind) {
+                let of_kind = self.kinds.get(&kind).and_then(Mean::read);
+                usual.push((kind, of_kind.or(self.seen.answers.read())));
+            }
+        }
         // Few answers tell little: they pull what is usual for the machine type their way by their number.
         let shrunk = |up: &Upstream, own: Option<f64>, count: f64| {
-            let usual = self.kinds.get(&up.kind).and_then(Mean::read).or(self.seen.answers.read()).or(own)?;
+            let usual = usual.iter().find(|known| known.0 == up.kind).and_then(|known| known.1).or(own)?;
             Some((count * own.unwrap_or(usual) + KIND_ANSWERS * usual) / (count + KIND_ANSWERS))
         };
-        let latency = gather(&|up| shrunk(up, up.latency(now), up.answers.weight.read(now, heard)));
-        let capacity = gather(&|up| match self.terms.weights_listed {
+        let latency = gather(&|_, up| shrunk(up, up.latency(now), up.answers.weight.read(now, heard)));
+        let capacity = gather(&|_, up| match self.terms.weights_listed {
             true => up.weight.read(),
             // Served rate per own request in flight is the inverse of the answer time.
             false => shrunk(up, up.lasting_answers.read(), up.lasting_answers.weight.read(now, LASTING))
                 .map(f64::recip),
         });
-        // An old report speaks of a load that is gone.
-        let fresh = |u: usize| (-(now.saturating_sub(ups[u].reported) as f64) / heard * 2.0).exp();
-        let queue = gather(&|up| up.queue.map(|queue| queue + 1.0));
-        let busy = gather(&|up| up.utilisation.map(|busy| busy + 0.1));
+        // An old report speaks of a load that is gone; where there is none it weighs nothing.
+        let age = |up: &Upstream| now.saturating_sub(up.reported) as f64;
+        let told = |up: &Upstream| up.queue.is_some() || up.utilisation.is_some();
+        let weight = |up: &Upstream| if told(up) { (-age(up) / heard * 2.0).exp() } else { 0.0 };
+        let fresh: Vec<f64> = ready.iter().map(|&u| weight(&ups[u])).collect();
+        let queue = gather(&|_, up| up.queue.map(|queue| queue + 1.0));
+        let busy = gather(&|_, up| up.utilisation.map(|busy| busy + 0.1));
         // Own work in flight, and of what is reported the part that is the other balancers'.
-        let others = |u: usize| (1.0 - 1.0 / sharers) * fresh(u) * ups[u].queue.unwrap_or(0.0);
-        let load = |&u: &usize| Some(0.5 + ups[u].work_in_flight + others(u));
-        let in_flight = relative(&ready.iter().map(load).collect::<Vec<_>>(), WIDEST);
+        let others = |i: usize, up: &Upstream| (1.0 - 1.0 / sharers) * fresh[i] * up.queue.unwrap_or(0.0);
+        let in_flight = gather(&|i, up| Some(0.5 + up.work_in_flight + others(i, up)));
         let met = |u: usize| ticket.homes.iter().find(|home| home.0 == u).map_or(0.0, |home| home.1);
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
         let row = |(i, &u): (usize, &usize)| {
-            let (busy, queue) = (busy[i] * fresh(u), queue[i] * fresh(u));
+            let (busy, queue) = (busy[i] * fresh[i], queue[i] * fresh[i]);
             [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), met(u), queue]
         };
         ready.iter().enumerate().map(row).collect()
@@ -573,10 +585,11 @@
     fn suspect(&mut self, now: Micros, u: usize, heard: f64, expected: f64, usual: f64) -> bool {
         let upstream = &mut self.upstreams[u];
         let silent = upstream.silent_for(now) > SILENT * expected;
-        let failed = upstream.failed.read(now, heard);
-        let share = failed / (failed + upstream.succeeded.read(now, heard)).max(1e-9);
         let enough = if upstream.suspected { FAILING.1 / 3.0 } else { FAILING.1 };
-        let suspected = silent || (failed > enough && share > FAILING.0 + (1.0 - FAILING.0) * usual);
+        // A sum only fades: what was not enough when it was last added to is not enough now.
+        let failed = if upstream.failed.sum > enough { upstream.failed.read(now, heard) } else { 0.0 };
+        let share = || failed / (failed + upstream.succeeded.read(now, heard)).max(1e-9);
+        let suspected = silent || (failed > enough && share() > FAILING.0 + (1.0 - FAILING.0) * usual);
         if suspected && !upstream.suspected {
             (upstream.trial_at, upstream.failed_trials) = (now + (TRIAL.0 * expected) as Micros, 0);
         }
@@ -653,8 +666,13 @@
     fn pool_has_room(&self, now: Micros) -> bool {
         let known = || self.order.iter().filter(|&&u| !self.upstreams[u].suspected);
         let held: f64 = known().map(|&u| self.upstreams[u].places()).sum();
-        let limit: f64 = known().take(self.circle().0).map(|&u| self.limit(now, u)).sum();
-        held < f64::max(limit + (limit / self.terms.balancers as f64).sqrt(), LEAST_IN_ALL)
+        let mut limit = 0.0;
+        // Limits only add up: once there is room the others need not be looked at.
+        held < LEAST_IN_ALL
+            || known().take(self.circle().0).any(|&u| {
+                limit += self.limit(now, u);
+                held < limit + (limit / self.terms.balancers as f64).sqrt()
+            })
     }
 
     /// The moment after which an answer would likely come too late.
@@ -840,7 +858,11 @@
     fn slope(&self, scene: &Scene) -> Option<(f64, [f64; FEATURES])> {
         let raw: Vec<f64> = scene.rows.iter().map(|row| dot(&self.weights, row)).collect();
         let m = top(raw.len());
-        let in_rest = |place: usize| raw.iter().filter(|other| **other > raw[place]).count() >= m;
+        // Of the rest is what lies below the last of the top, so that ties with it count as top.
+        let mut sorted = raw.clone();
+        let falling = |a: &f64, b: &f64| b.total_cmp(a);
+        let last = m.checked_sub(1).map(|last| *sorted.select_nth_unstable_by(last, falling).1);
+        let in_rest = |place: usize| last.is_none_or(|last| raw[place] < last);
         if in_rest(scene.drawn) {
             return None;
         }
--- a/src/fading.rs
+++ b/src/fading.rs
@@ -11,7 +11,11 @@
 
 impl Fading {
     pub(crate) fn read(&self, now: Micros, horizon: f64) -> f64 {
-        self.sum * (-(now.saturating_sub(self.at) as f64) / horizon).exp()
+        // Most sums of most upstreams hold nothing, and exp() is what a look at a large fleet costs.
+        if self.sum == 0.0 || now <= self.at {
+            return self.sum;
+        }
+        self.sum * (-((now - self.at) as f64) / horizon).exp()
     }
     pub(crate) fn add(&mut self, now: Micros, horizon: f64, amount: f64) {
         self.sum = self.read(now, horizon) + amount;
