--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -77,6 +77,8 @@
     pub deaths: Vec<String>,
     pub cpu_us_per_ticket: f64,
     pub memory_mb: f64,
+    /// Of the lab itself: stand-ins, load and judge.
+    pub lab_memory_mb: f64,
     pub dispatches_per_ticket: f64,
     pub sends: Vec<u64>,
     pub seconds: Vec<Second>,
@@ -149,6 +151,7 @@
             "load's lateness",
             format!("p99 {:.2} ms, most {:.2}", self.lateness_ms.p99, self.lateness_ms.max),
         );
+        line("the lab itself", format!("{:.0} MB", self.lab_memory_mb));
         match self.rules_broken_count {
             0 => line("rules", "none broken".into()),
             count => {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -108,9 +108,12 @@
     /// All where none is named
     #[arg(long)]
     policy: Vec<Policy>,
-    /// Play it with this balancer as well; the one beside this program where none is named
-    #[arg(long, num_args = 0..=1, default_missing_value = "")]
-    with: Option<PathBuf>,
+    /// Play it with the balancer beside this program as well
+    #[arg(long)]
+    ours: bool,
+    /// Play it with this balancer as well
+    #[arg(long)]
+    binary: Vec<PathBuf>,
     #[arg(long)]
     seed: Option<u64>,
     /// Write the figures to this file
@@ -423,11 +426,9 @@
     let day = read_day(&compare.day)?;
     let policies = if compare.policy.is_empty() { Policy::ALL.to_vec() } else { compare.policy.clone() };
     let wishes = Wishes { live: true, by_hand: false, over: Arc::clone(over) };
-    let binary = compare.with.as_ref().map(|path| match path.as_os_str().is_empty() {
-        true => balancers::own_binary(),
-        false => path.clone(),
-    });
-    let whos = binary.map(Who::Binary).into_iter().chain(policies.into_iter().map(Who::Policy));
+    let ours = compare.ours.then(balancers::own_binary);
+    let binaries = ours.into_iter().chain(compare.binary.iter().cloned()).map(Who::Binary);
+    let whos = binaries.chain(policies.into_iter().map(Who::Policy));
     let mut all = Vec::new();
     for who in whos {
         if !over.load(Ordering::Relaxed) {
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -14,7 +14,7 @@
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 
-use crate::balancers::{Balancer, own_binary, wait_ready};
+use crate::balancers::{Balancer, own_binary, used, wait_ready};
 use crate::baseline::{self, Policy};
 use crate::clients::{Load, worker};
 use crate::figures::Figures;
@@ -283,6 +283,7 @@
         deaths,
         cpu_us_per_ticket: cpu.saturating_sub(before) as f64 / asked,
         memory_mb: memory as f64 / 1024.0,
+        lab_memory_mb: used(std::process::id()).memory_kb as f64 / 1024.0,
         dispatches_per_ticket: sends.iter().sum::<u64>() as f64 / asked,
         sends,
         cut_short: wishes.over.load(Ordering::Relaxed),
@@ -378,3 +379,6 @@
     }
     eprintln!("Its counters: curl http://{address}/stats");
 }
+
+#[cfg(test)]
+mod tests;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -39,6 +39,7 @@
     faults: &[(f64, f64)],
     most: f64,
     unit: &str,
+    legend: SeriesLabelPosition,
 ) -> Result<String, String> {
     let mut svg = String::new();
     {
@@ -76,7 +77,7 @@
         }
         chart
             .configure_series_labels()
-            .position(SeriesLabelPosition::LowerLeft)
+            .position(legend)
             .background_style(WHITE.mix(0.8))
             .border_style(BLACK.mix(0.3))
             .draw()
@@ -160,7 +161,14 @@
     let each = |name: &str, of: &dyn Fn(&Second) -> f64| -> Vec<Curve> {
         runs.iter().enumerate().map(|(number, run)| curve(run, number, name, of)).collect()
     };
-    let service = plot(&each("", &|second| second.service), length, &faults, 1.02, "service")?;
+    let service = plot(
+        &each("", &|second| second.service),
+        length,
+        &faults,
+        1.02,
+        "service",
+        SeriesLabelPosition::LowerLeft,
+    )?;
     let mut times = String::new();
     for (heading, of) in [
         ("p50", &(|second: &Second| second.p50_ms) as &dyn Fn(&Second) -> f64),
@@ -169,7 +177,14 @@
     ] {
         let curves = each(&format!(", {heading}"), of);
         let most = curves.iter().flat_map(|curve| &curve.points).map(|point| point.1).fold(1.0, f64::max);
-        times.push_str(&plot(&curves, length, &faults, 1.05 * most, &format!("{heading}, ms"))?);
+        times.push_str(&plot(
+            &curves,
+            length,
+            &faults,
+            1.05 * most,
+            &format!("{heading}, ms"),
+            SeriesLabelPosition::UpperLeft,
+        )?);
     }
     let mut out = format!(
         "<!doctype html>\n<html lang=en><head><meta charset=utf-8><title>{name}</title>\n\
--- a/src/arithmetic.rs
+++ b/src/arithmetic.rs
@@ -24,8 +24,15 @@
 pub(crate) fn relative(values: &[Option<f64>], widest: f64) -> Vec<f64> {
     let known = values.iter().flatten().count().max(1) as f64;
     let mean = values.iter().flatten().sum::<f64>() / known;
+    // Of many values most are the one before again: idle upstreams are alike.
+    let mut before = (f64::NAN, 0.0);
     let log = |value: &Option<f64>| match value {
-        Some(value) if mean > 0.0 => (value / mean).max(1e-3).ln().clamp(-widest, widest),
+        Some(value) if mean > 0.0 => {
+            if *value != before.0 {
+                before = (*value, (value / mean).max(1e-3).ln().clamp(-widest, widest));
+            }
+            before.1
+        }
         _ => 0.0,
     };
     values.iter().map(log).collect()
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -49,6 +49,9 @@
 const EPOCHS: usize = 2;
 const ANCHOR: f64 = 0.02; // share of the way back to the start at each update: no drift
 const OUTCOMES_AN_UPDATE: usize = 256;
+/// Candidates up to which every outcome teaches; of more, as many outcomes as make up for it: what is kept of a
+/// dispatch and read by the learning would else grow with the fleet.
+const TEACHING: usize = 32;
 const UPDATE_EVERY: Micros = 2_000_000;
 
 /// Horizons of the present and of what describes a machine.
@@ -274,8 +277,10 @@
         let Some((chance, u)) = chances.get(drawn).map(|chance| (*chance, ready[scored[drawn].1])) else {
             return false;
         };
-        let rows = scored.into_iter().map(|s| rows[s.1]).collect();
-        self.send(now, ticket, u, Some(Scene { rows, drawn, chance }))
+        let teaches = rows.len() <= TEACHING || self.chance.generate_range(0..rows.len()) < TEACHING;
+        let scene =
+            teaches.then(|| Scene { rows: scored.iter().map(|s| rows[s.1]).collect(), drawn, chance });
+        self.send(now, ticket, u, scene)
     }
 
     /// What the mechanism knows of each candidate. Ratios to the candidates' mean make one weight vector
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -590,3 +590,21 @@
     let needed = if work > LONG.0 { LONG.1 * 50.0 * work } else { TIME_LEFT * 100.0 };
     assert_eq!(balancer.last_start(&ticket), ticket.promised - needed as Micros * MS);
 }
+
+/// With many candidates what is kept of dispatches would grow with their square over a fleet.
+#[test]
+fn of_many_candidates_only_a_part_of_the_outcomes_teaches() {
+    let kept = |upstreams| {
+        let mut balancer = balancer(Effect::Redoable, upstreams).0;
+        let teaches = |n: usize| {
+            let (id, promised) = (Rc::from(format!("t{n}")), START_AT + 400 * MS);
+            let mut ticket = Ticket::new(id, 0, promised, promised, 1.0, true);
+            assert!(balancer.place(START_AT, &mut ticket));
+            usize::from(ticket.dispatches[0].scene.is_some())
+        };
+        (0..TEACHING).map(teaches).sum::<usize>()
+    };
+    assert_eq!(kept(TEACHING), TEACHING);
+    let (part, all) = (kept(40 * TEACHING), TEACHING);
+    assert!(part < all / 4, "{part} of {all}, and a fortieth is meant");
+}
