--- a/lab/src/baseline.rs
+++ b/lab/src/baseline.rs
@@ -144,15 +144,7 @@
 async fn carry(plain: Arc<Plain>, mut stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let mut kept = Vec::new();
-    loop {
-        let asked = match if kept.is_empty() { Ok(None) } else { http::asked(&kept) } {
-            Ok(Some(asked)) => asked,
-            Ok(None) => match http::more(&mut stream, &mut kept).await {
-                Ok(true) => continue,
-                _ => return,
-            },
-            Err(_) => return,
-        };
+    while let Some(asked) = http::next_request(&mut stream, &mut kept).await {
         let message: Vec<u8> = kept.drain(..asked.end).collect();
         let wait = Duration::from_millis(asked.remaining_ms.unwrap_or(1000)).saturating_sub(WAY_BACK);
         let found = timeout(wait, dispatch(&plain, &message)).await;
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -141,6 +141,21 @@
     Ok(stream.read_buf(kept).await? > 0)
 }
 
+/// Reads until a request is whole, and says what it asks; `kept` then begins with it. Nothing where the connection
+/// ended, broke, or brought what is no request.
+pub async fn next_request(stream: &mut TcpStream, kept: &mut Vec<u8>) -> Option<Asked> {
+    loop {
+        if !kept.is_empty()
+            && let Some(found) = asked(kept).ok()?
+        {
+            return Some(found);
+        }
+        if !more(stream, kept).await.ok()? {
+            return None;
+        }
+    }
+}
+
 /// Reads until the answer is whole.
 pub async fn read_answer(stream: &mut TcpStream, kept: &mut Vec<u8>) -> io::Result<Answered> {
     loop {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -69,7 +69,7 @@
     rate: f64,
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// Go on until Ctrl-C
+    /// Go on until Ctrl-C, an hour at most
     #[arg(long)]
     keep_open: bool,
     /// Write the figures to this file
@@ -255,7 +255,7 @@
 }
 
 fn demo(demo: &Demo, over: &Arc<AtomicBool>) -> Result<(), Failure> {
-    let lasts = if demo.keep_open { "24h" } else { &demo.lasts };
+    let lasts = if demo.keep_open { "1h" } else { &demo.lasts };
     let text = format!(
         "name = \"demo\"\nlength = \"{lasts}\"\nbalancers = {}\nseed = {}\n[fleet]\nservers = {}\n[traffic]\nrate = {:?}\n",
         demo.balancers, demo.seed, demo.servers, demo.rate
@@ -271,7 +271,8 @@
 fn run(run: &Run, over: &Arc<AtomicBool>) -> Result<(), Failure> {
     let mut day = read_day(&run.day)?;
     if let Some(balancers) = run.balancers {
-        *day.balancers.as_mut() = balancers;
+        check::set_balancers(&mut day, balancers)
+            .map_err(|reason| Failure::Wrong(format!("--balancers: {reason}")))?;
     }
     let binaries = match run.binary.is_empty() {
         true => vec![balancers::own_binary()],
@@ -387,6 +388,11 @@
         true => vec![balancers::own_binary()],
         false => options.binary.clone(),
     };
+    let rate_fits = options.rate > 0.0 && options.rate <= 1e6;
+    if !rate_fits || options.clients.contains(&0) || options.servers.contains(&0) || options.lasts.is_zero() {
+        let reason = "--rate must be over 0 and at most 1000000, --servers, --clients and --for over 0";
+        return Err(Failure::Wrong(reason.into()));
+    }
     let mut all: Vec<Vec<overhead::Point>> = binaries.iter().map(|_| Vec::new()).collect();
     println!("{}", overhead::TABLE_HEAD);
     for &servers in &options.servers {
--- a/lab/src/overhead.rs
+++ b/lab/src/overhead.rs
@@ -65,22 +65,13 @@
 async fn answer_each(mut stream: TcpStream, work: Duration) {
     let _ = stream.set_nodelay(true);
     let mut kept = Vec::new();
-    loop {
-        match if kept.is_empty() { Ok(None) } else { http::asked(&kept) } {
-            Ok(Some(asked)) => {
-                kept.drain(..asked.end);
-                if !work.is_zero() {
-                    tokio::time::sleep(work).await;
-                }
-                if http::answer(&mut stream, "200 OK", "", "served\n").await.is_err() {
-                    return;
-                }
-            }
-            Ok(None) => match http::more(&mut stream, &mut kept).await {
-                Ok(true) => {}
-                _ => return,
-            },
-            Err(_) => return,
+    while let Some(asked) = http::next_request(&mut stream, &mut kept).await {
+        kept.drain(..asked.end);
+        if !work.is_zero() {
+            tokio::time::sleep(work).await;
+        }
+        if http::answer(&mut stream, "200 OK", "", "served\n").await.is_err() {
+            return;
         }
     }
 }
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -211,15 +211,7 @@
 /// Answers calls for the list on one connection.
 async fn calls(world: Arc<World>, balancer: usize, mut stream: TcpStream) {
     let mut kept = Vec::new();
-    loop {
-        let asked = match if kept.is_empty() { Ok(None) } else { http::asked(&kept) } {
-            Ok(Some(asked)) => asked,
-            Ok(None) => match http::more(&mut stream, &mut kept).await {
-                Ok(true) => continue,
-                _ => return,
-            },
-            Err(_) => return,
-        };
+    while let Some(asked) = http::next_request(&mut stream, &mut kept).await {
         kept.drain(..asked.end);
         let number = |name: &str| -> Option<u64> {
             let query = asked.path.split_once('?')?.1;
--- a/lab/src/standing.rs
+++ b/lab/src/standing.rs
@@ -73,16 +73,7 @@
 
 async fn page(world: Arc<World>, mut stream: TcpStream) {
     let mut kept = Vec::new();
-    let asked = loop {
-        match if kept.is_empty() { Ok(None) } else { http::asked(&kept) } {
-            Ok(Some(asked)) => break asked,
-            Ok(None) => match http::more(&mut stream, &mut kept).await {
-                Ok(true) => {}
-                _ => return,
-            },
-            Err(_) => return,
-        }
-    };
+    let Some(asked) = http::next_request(&mut stream, &mut kept).await else { return };
     let form = String::from_utf8_lossy(&kept[asked.head..asked.end]).into_owned();
     const HTML: &str = "Content-Type: text/html; charset=utf-8\r\nConnection: close\r\n";
     const TEXT: &str = "Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\n";
--- a/model/src/check.rs
+++ b/model/src/check.rs
@@ -51,6 +51,19 @@
     if problems.found.is_empty() { Ok(day) } else { Err(problems.found) }
 }
 
+/// Puts another number of balancers in the place of what a day says, if its faults allow it.
+pub fn set_balancers(day: &mut Day, balancers: usize) -> Result<(), String> {
+    if balancers == 0 || balancers > BALANCERS_MOST {
+        return Err(format!("must be 1 to {BALANCERS_MOST}"));
+    }
+    let mut named = day.faults.iter().flat_map(|fault| fault.get_ref().balancers.iter().flatten());
+    if let Some(named) = named.find(|number| **number >= balancers) {
+        return Err(format!("a fault of the day names balancer {named}, and there would be {balancers}"));
+    }
+    *day.balancers.as_mut() = balancers;
+    Ok(())
+}
+
 /// Decodes and checks one fault that is added by hand while a day is played; its `at` counts from now.
 pub fn by_hand(day: &Day, text: &str, now: Micros) -> Result<Fault, String> {
     let mut fault: Fault = toml::from_str(text).map_err(|problem| problem.message().replace('\n', " "))?;
@@ -396,6 +409,23 @@
         assert!(read(text, "d.toml").unwrap_err()[0].to_string().contains(wanted));
     }
 
+    #[rstest]
+    #[case(0, Some("must be 1 to 64"))]
+    #[case(65, Some("must be 1 to 64"))]
+    #[case(1, Some("names balancer 1"))]
+    #[case(5, None)]
+    fn another_number_of_balancers_must_fit_the_faults(
+        #[case] balancers: usize,
+        #[case] wanted: Option<&str>,
+    ) {
+        let fault = "[[faults]]\nkind = 'balancer_killed'\nat = '1s'\nfor = '1s'\nbalancers = [1]";
+        let mut day = read(&format!("{HEAD}{fault}"), "d.toml").unwrap();
+        let set = set_balancers(&mut day, balancers);
+        assert_eq!(set.is_ok(), wanted.is_none());
+        assert!(wanted.is_none_or(|wanted| set.unwrap_err().contains(wanted)));
+        assert_eq!(*day.balancers.get_ref(), if wanted.is_none() { balancers } else { 2 });
+    }
+
     #[test]
     fn all_problems_are_told_at_once() {
         let text = format!("{HEAD}balancers = 0\n[fleet]\nservers = 0\n[traffic]\nrate = -1.0");
--- a/model/src/server.rs
+++ b/model/src/server.rs
@@ -466,17 +466,23 @@
     }
 }
 
-/// What servers of one group keep of labels, so that a repeat does nothing.
+/// What servers of one group keep of labels, and until when, so that a repeat does nothing.
 #[derive(Default)]
 pub struct Repeats(HashMap<(usize, u64), Micros>);
 
+/// Labels kept before those whose window is over are cleared.
+const LABELS_BEFORE_CLEARING: usize = 65_536;
+
 impl Repeats {
     /// Whether a ticket with that label is a repeat in its group, and so has no effect. Otherwise it is the first.
     pub fn is_repeat(&mut self, now: Micros, group: usize, label: u64, window: Micros) -> bool {
         match self.0.get(&(group, label)) {
-            Some(first) if now < first + window => true,
+            Some(until) if now < *until => true,
             _ => {
-                self.0.insert((group, label), now);
+                if self.0.len() >= LABELS_BEFORE_CLEARING {
+                    self.0.retain(|_, until| now < *until);
+                }
+                self.0.insert((group, label), now + window);
                 false
             }
         }
