Reading again: the lab counts and words each thing once

The figures had the clients' counts and the parts of service in copies of their own; both are the collected ones now. The comment on histograms named a test that was not there.

--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -177,7 +177,7 @@
     }
 
     fn signal(&mut self, signal: Signal) {
-        self.keep_used();
+        self.used = self.used();
         self.told_to_end = true;
         if let Some(pid) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
             // One that has ended already needs no signal.
@@ -206,14 +206,6 @@
         self.kill();
     }
 
-    fn keep_used(&mut self) {
-        if !self.told_to_end {
-            let now = self.child.as_ref().map(|child| used(child.id())).unwrap_or_default();
-            self.used.cpu_us += now.cpu_us;
-            self.used.memory_kb = self.used.memory_kb.max(now.memory_kb);
-        }
-    }
-
     /// What all its processes have used so far.
     pub fn used(&self) -> Used {
         let running = self.child.as_ref().filter(|_| !self.told_to_end);
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -14,6 +14,7 @@
 use pinefront_model::judge::{Outcome, Seen};
 use pinefront_model::service::Tally;
 use pinefront_model::traffic::{self, Ticket};
+use serde::Serialize;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -35,23 +36,27 @@
 
 /// A histogram of times in microseconds, to three digits.
 pub fn histogram() -> Histogram<u64> {
-    // These bounds are within what the library takes, as a test shows.
-    Histogram::new_with_bounds(1, LONGEST_US, 3).unwrap_or_else(|_| {
-        Histogram::new_with_max(LONGEST_US, 1).unwrap_or_else(|_| unreachable!("bounds are constants"))
-    })
+    // The bounds are constants that the library takes; whatever is played makes one.
+    Histogram::new_with_bounds(1, LONGEST_US, 3).unwrap_or_else(|_| unreachable!("bounds are constants"))
 }
 
-/// What all clients saw.
-pub struct Collected {
-    pub tally: Tally,
+/// How tries ended.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Tickets {
     pub asked: u64,
     pub succeeded: u64,
     pub dismissed: u64,
     pub abandoned: u64,
     pub unanswered: u64,
     pub left: u64,
-    /// Tries for which no balancer could be reached.
+    /// No balancer could be reached.
     pub unreached: u64,
+}
+
+/// What all clients saw.
+pub struct Collected {
+    pub tally: Tally,
+    pub tickets: Tickets,
     /// From when a try was due to its answer, for those that succeeded.
     pub latency: Histogram<u64>,
     /// From when a try was due to when it was written.
@@ -64,40 +69,30 @@
     pub fn new(seconds: usize) -> Self {
         Self {
             tally: Tally::new(),
-            asked: 0,
-            succeeded: 0,
-            dismissed: 0,
-            abandoned: 0,
-            unanswered: 0,
-            left: 0,
-            unreached: 0,
+            tickets: Tickets::default(),
             latency: histogram(),
             lateness: histogram(),
             by_second: (0..seconds).map(|_| histogram()).collect(),
         }
     }
-}
 
-impl Collected {
     fn ended(&mut self, ticket: &Ticket, end: &End, now: Micros) {
-        let outcome = match end {
-            End::Answered(outcome, _) => Some(*outcome),
-            _ => None,
-        };
-        match end {
-            End::Answered(Outcome::Succeeded, _) => {
-                self.succeeded += 1;
-                let took = now.saturating_sub(ticket.due).max(1);
-                self.latency.saturating_record(took);
-                if let Some(second) = self.by_second.get_mut((ticket.due / 1_000_000) as usize) {
-                    second.saturating_record(took);
-                }
+        let tickets = &mut self.tickets;
+        *match end {
+            End::Answered(Outcome::Succeeded, _) => &mut tickets.succeeded,
+            End::Answered(Outcome::Dismissed, _) => &mut tickets.dismissed,
+            End::Answered(Outcome::Abandoned, _) => &mut tickets.abandoned,
+            End::Lost => &mut tickets.unanswered,
+            End::Left => &mut tickets.left,
+            End::Unreached => &mut tickets.unreached,
+        } += 1;
+        let outcome = end.outcome();
+        if outcome == Some(Outcome::Succeeded) {
+            let took = now.saturating_sub(ticket.due).max(1);
+            self.latency.saturating_record(took);
+            if let Some(second) = self.by_second.get_mut((ticket.due / 1_000_000) as usize) {
+                second.saturating_record(took);
             }
-            End::Answered(Outcome::Dismissed, _) => self.dismissed += 1,
-            End::Answered(Outcome::Abandoned, _) => self.abandoned += 1,
-            End::Lost => self.unanswered += 1,
-            End::Left => self.left += 1,
-            End::Unreached => self.unreached += 1,
         }
         self.tally.ended(ticket, now, outcome);
     }
@@ -155,8 +150,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let set = LocalSet::new();
     set.block_on(&runtime, async {
-        let pools: Rc<RefCell<Vec<Vec<TcpStream>>>> =
-            Rc::new(RefCell::new(load.front.addresses.iter().map(|_| Vec::new()).collect()));
+        let pools: Pools = Rc::new(RefCell::new(load.front.addresses.iter().map(|_| Vec::new()).collect()));
         while let Some(ticket) = due.recv().await {
             tokio::task::spawn_local(client(Arc::clone(load), Rc::clone(&pools), ticket));
         }
@@ -176,6 +170,15 @@
     Unreached,
 }
 
+impl End {
+    fn outcome(&self) -> Option<Outcome> {
+        match self {
+            Self::Answered(outcome, _) => Some(*outcome),
+            _ => None,
+        }
+    }
+}
+
 /// One client: its tries, one after the other.
 async fn client(load: Arc<Load>, pools: Pools, mut ticket: Ticket) {
     let world = &load.world;
@@ -183,19 +186,17 @@
         world.expect(&ticket);
         {
             let mut collected = locked(&load.collected);
-            collected.asked += 1;
+            collected.tickets.asked += 1;
             collected.tally.asked(&ticket);
         }
         let end = attempt(&load, &pools, &ticket).await;
         let now = world.now();
-        let (outcome, come_back) = match end {
-            End::Answered(outcome, come_back) => (Some(outcome), come_back),
-            End::Lost | End::Left | End::Unreached => (None, None),
-        };
         locked(&load.collected).ended(&ticket, &end, now);
-        if matches!(outcome, Some(Outcome::Succeeded)) || matches!(end, End::Left) {
-            return;
-        }
+        let come_back = match end {
+            End::Answered(Outcome::Succeeded, _) | End::Left => return,
+            End::Answered(_, come_back) => come_back,
+            End::Lost | End::Unreached => None,
+        };
         let number = load.next_number.fetch_add(1, Ordering::Relaxed);
         let Some(again) = traffic::again(&world.day, &ticket, number, now, come_back) else { return };
         ticket = again;
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -7,18 +7,7 @@
 use pinefront_model::service::Parts;
 use serde::Serialize;
 
-use crate::clients::Collected;
-
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Tickets {
-    pub asked: u64,
-    pub succeeded: u64,
-    pub dismissed: u64,
-    pub abandoned: u64,
-    pub unanswered: u64,
-    pub left: u64,
-    pub unreached: u64,
-}
+use crate::clients::{Collected, Tickets};
 
 /// Milliseconds.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -36,15 +25,6 @@
     }
 }
 
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct ServiceParts {
-    pub whole: f64,
-    pub worst_10s: f64,
-    pub worst_use_case: f64,
-    pub worst_tenant: f64,
-    pub tail: f64,
-}
-
 /// One second of a day.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Second {
@@ -70,7 +50,7 @@
     pub valid: bool,
     pub why_invalid: Vec<String>,
     pub service: f64,
-    pub service_parts: ServiceParts,
+    pub service_parts: Parts,
     pub rules_broken: Vec<String>,
     pub rules_broken_count: usize,
     /// Processes that ended by themselves, with their last log lines.
@@ -91,14 +71,10 @@
 
 impl Figures {
     pub fn take(&mut self, collected: &Collected, parts: Parts, by_second: &[f64], ledger: &Ledger) {
-        let Collected { asked, succeeded, dismissed, abandoned, unanswered, left, unreached, .. } =
-            *collected;
-        self.tickets = Tickets { asked, succeeded, dismissed, abandoned, unanswered, left, unreached };
+        self.tickets = collected.tickets.clone();
         self.latency_ms = Times::of(&collected.latency);
         self.lateness_ms = Times::of(&collected.lateness);
-        let Parts { whole, worst_10s, worst_use_case, worst_tenant, tail, total } = parts;
-        (self.service, self.service_parts) =
-            (total, ServiceParts { whole, worst_10s, worst_use_case, worst_tenant, tail });
+        (self.service, self.service_parts) = (parts.total, parts);
         self.rules_broken_count = ledger.breaks().len();
         self.rules_broken = ledger.breaks().iter().take(BREAKS_TOLD).map(ToString::to_string).collect();
         let seconds = by_second.iter().zip(&collected.by_second).map(|(service, histogram)| {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -247,6 +247,11 @@
     (mean, (squares / (count - 1.0).max(1.0)).sqrt())
 }
 
+/// The balancers named, or the one beside this program.
+fn binaries(named: &[PathBuf]) -> Vec<PathBuf> {
+    if named.is_empty() { vec![balancers::own_binary()] } else { named.to_vec() }
+}
+
 fn write_report(folder: Option<&Path>, day: &Day, runs: &[&Figures]) -> Result<(), Failure> {
     let Some(folder) = folder else { return Ok(()) };
     let path = report::write(folder, day, runs).map_err(Failure::Failed)?;
@@ -274,10 +279,7 @@
         check::set_balancers(&mut day, balancers)
             .map_err(|reason| Failure::Wrong(format!("--balancers: {reason}")))?;
     }
-    let binaries = match run.binary.is_empty() {
-        true => vec![balancers::own_binary()],
-        false => run.binary.clone(),
-    };
+    let binaries = binaries(&run.binary);
     let wishes = Wishes { live: true, by_hand: false, over: Arc::clone(over) };
     let first = run.seed.unwrap_or(day.seed);
     let mut all: Vec<Vec<Figures>> = binaries.iter().map(|_| Vec::new()).collect();
@@ -384,10 +386,7 @@
 }
 
 fn overhead(options: &Overhead, over: &Arc<AtomicBool>) -> Result<(), Failure> {
-    let binaries = match options.binary.is_empty() {
-        true => vec![balancers::own_binary()],
-        false => options.binary.clone(),
-    };
+    let binaries = binaries(&options.binary);
     let rate_fits = options.rate > 0.0 && options.rate <= 1e6;
     if !rate_fits || options.clients.contains(&0) || options.servers.contains(&0) || options.lasts.is_zero() {
         let reason = "--rate must be over 0 and at most 1000000, --servers, --clients and --for over 0";
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -238,18 +238,10 @@
 pub fn play(day: &Day, seed: u64, who: &Who, wishes: &Wishes) -> Result<Figures, String> {
     let runtime = runtime().map_err(|problem| format!("cannot start threads: {problem}"))?;
     let world = Arc::new(World::new(day.clone(), seed));
-    let figures = runtime.block_on(async {
+    let balancing = runtime.block_on(async {
         start_servers(&world).await?;
-        let balancing = start_balancers(&world, who).await?;
-        Ok::<_, String>(balancing)
-    });
-    let balancing = match figures {
-        Ok(balancing) => balancing,
-        Err(problem) => {
-            runtime.shutdown_background();
-            return Err(problem);
-        }
-    };
+        start_balancers(&world, who).await
+    })?;
     let load = Arc::new(Load::new(Arc::clone(&world), balancing.addresses.clone()));
     let before: u64 = locked(&balancing.children).iter().map(|child| child.used().cpu_us).sum();
     if wishes.by_hand {
@@ -273,7 +265,7 @@
     runtime.shutdown_background();
     let collected = locked(&load.collected);
     let sends: Vec<u64> = world.stands().iter().map(|stand| stand.sends.load(Ordering::Relaxed)).collect();
-    let asked = collected.asked.max(1) as f64;
+    let asked = collected.tickets.asked.max(1) as f64;
     let mut found = Figures {
         day: day.name.clone(),
         who: who.name(),
@@ -351,13 +343,13 @@
 
 fn tell_live(load: &Load) {
     let collected = locked(&load.collected);
-    let (asked, p99) = (collected.asked, collected.latency.value_at_quantile(0.99) as f64 / 1000.0);
+    let (asked, p99) = (collected.tickets.asked, collected.latency.value_at_quantile(0.99) as f64 / 1000.0);
     let text = format!(
         "\r{:>4} s  {asked} asked  {} succeeded  {} dismissed  {} abandoned  p99 {p99:.0} ms  {} rules broken   ",
         load.world.now() / 1_000_000,
-        collected.succeeded,
-        collected.dismissed,
-        collected.abandoned,
+        collected.tickets.succeeded,
+        collected.tickets.dismissed,
+        collected.tickets.abandoned,
         locked(&load.world.ledger).breaks().len(),
     );
     drop(collected);
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -170,22 +170,7 @@
         let ticket = use_case.map(|use_case| {
             let class = self.day.use_cases[use_case].get_ref();
             let (work, waits, wait) = (class.work.0 as f64, class.waits.0, class.hard_stop.0);
-            Ticket {
-                number: 0,
-                first: 0,
-                due: 0,
-                first_due: 0,
-                tries: 1,
-                use_case,
-                tenant: 0,
-                key: 0,
-                label: 0,
-                work,
-                waits,
-                wait,
-                leaves_after: None,
-                dealt: 0.0,
-            }
+            Ticket { tries: 1, use_case, work, waits, wait, ..Ticket::default() }
         });
         (None, ticket)
     }
--- a/model/src/service.rs
+++ b/model/src/service.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::Serialize;
+
 use crate::Micros;
 use crate::SECOND;
 use crate::day::Day;
@@ -34,14 +36,15 @@
 }
 
 /// Parts of service, each of 1.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Parts {
     pub whole: f64,
     pub worst_10s: f64,
     pub worst_use_case: f64,
     pub worst_tenant: f64,
     pub tail: f64,
-    /// All of them as the day weighs them.
+    /// All of them as the day weighs them; told beside its parts, not among them.
+    #[serde(skip)]
     pub total: f64,
 }
 
--- a/model/src/traffic.rs
+++ b/model/src/traffic.rs
@@ -7,7 +7,7 @@
 use crate::faults::Timeline;
 
 /// One try of a client.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Ticket {
     /// Its own number, new with each try, and that of the first try.
     pub number: u64,
