--- a/node/src/wire/answers.rs
+++ b/node/src/wire/answers.rs
@@ -69,8 +69,8 @@
             desk.answer(errand.ticket, 200, lines, body);
         }
         drop(borrowed);
-        if let Some((busy, queue)) = load {
-            self.balancer.load_reported(now, &upstream, busy, queue);
+        if let Some((busy, queue, held)) = load {
+            self.balancer.load_reported(now, &upstream, busy, queue, held);
         }
         if let Some(id) = told {
             let took = now.saturating_sub(errand.sent);
@@ -119,11 +119,14 @@
 
 /// What an upstream tells of its load: how busy it is, and its queue or else what it holds. A report that can't be
 /// read tells nothing, not that there is no load.
-fn load(fields: &[Header]) -> Option<(Option<f64>, Option<f64>)> {
-    heads::texts(fields, "x-pressure").map(figures).find(|told| *told != (None, None))
+fn load(fields: &[Header]) -> Option<Load> {
+    heads::texts(fields, "x-pressure").map(figures).find(|told| *told != (None, None, None))
 }
 
-fn figures(text: &str) -> (Option<f64>, Option<f64>) {
+/// How busy an upstream is, its queue, and what it holds in all.
+pub type Load = (Option<f64>, Option<f64>, Option<f64>);
+
+pub fn figures(text: &str) -> Load {
     let (mut busy, mut queue, mut held) = (None, None, None);
     for part in text.strip_prefix("TEXT").unwrap_or(text).split(',') {
         let Some((name, value)) = part.split_once('=') else { continue };
@@ -135,5 +138,5 @@
             _ => {}
         }
     }
-    (busy, queue.or(held))
+    (busy, queue, held)
 }
--- a/node/src/wire/answers/tests.rs
+++ b/node/src/wire/answers/tests.rs
@@ -3,23 +3,20 @@
 use super::*;
 
 #[rstest]
-#[case("TEXT inflight=7, queue=2, util=0.61", (Some(0.61), Some(2.0)))]
-#[case("busy=0.5,q=1", (Some(0.5), Some(1.0)))]
-#[case("TEXT inflight=7", (None, Some(7.0)))]
-#[case("TEXT util=NaN, queue=inf", (None, None))]
-#[case("nonsense", (None, None))]
-fn loads_are_read_as_far_as_they_can_be(#[case] text: &str, #[case] expected: (Option<f64>, Option<f64>)) {
+#[case("TEXT inflight=7, queue=2, util=0.61", (Some(0.61), Some(2.0), Some(7.0)))]
+#[case("busy=0.5,q=1", (Some(0.5), Some(1.0), None))]
+#[case("TEXT inflight=7", (None, None, Some(7.0)))]
+#[case("TEXT util=NaN, queue=inf", (None, None, None))]
+#[case("nonsense", (None, None, None))]
+fn loads_are_read_as_far_as_they_can_be(#[case] text: &str, #[case] expected: Load) {
     assert_eq!(figures(text), expected);
 }
 
 #[rstest]
 #[case::none(&[], None)]
 #[case::what_cannot_be_read_tells_nothing(&["%%%"], None)]
-#[case::behind_what_cannot_be_read(&["{", "TEXT util=0.5"], Some((Some(0.5), None)))]
-fn the_report_that_can_be_read_counts(
-    #[case] texts: &[&'static str],
-    #[case] expected: Option<(Option<f64>, Option<f64>)>,
-) {
+#[case::behind_what_cannot_be_read(&["{", "TEXT util=0.5"], Some((Some(0.5), None, None)))]
+fn the_report_that_can_be_read_counts(#[case] texts: &[&'static str], #[case] expected: Option<Load>) {
     let field = |text: &&'static str| Header { name: "X-Pressure", value: text.as_bytes() };
     assert_eq!(load(&texts.iter().map(field).collect::<Vec<_>>()), expected);
 }
--- a/node/src/wire/hands.rs
+++ b/node/src/wire/hands.rs
@@ -61,6 +61,17 @@
         let mut desk = self.0.borrow_mut();
         desk.follow_list();
     }
+
+    fn probe(&mut self, _upstream: &str) {}
+
+    fn close_idle(&mut self, upstream: &str) {
+        let mut desk = self.0.borrow_mut();
+        let Some(slot) = desk.by_name.get(upstream).copied() else { return };
+        let idle = desk.upstreams.get(slot).map(|upstream| upstream.idle.clone()).unwrap_or_default();
+        idle.into_iter().for_each(|link| desk.end_link(link, reasons::CALLED_OFF));
+    }
+
+    fn tell(&mut self, _balancer: Option<usize>, _words: &str) {}
 }
 
 impl Desk {
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -93,11 +93,10 @@
         let hard_stop = (now + wait).saturating_sub(spent).max(now);
         let account =
             heads::field(fields, "x-org").map_or(desk.place.accounts.len(), |name| desk.place.account(name));
-        let key = heads::field(fields, "x-entity").map(key_number);
         let hint = heads::field(fields, "x-estimate").and_then(|hint| hint.parse().ok());
         let ticket = desk.open(slot, id, &message, &asked, &body);
         drop(borrowed);
-        self.balancer.ticket_arrived(now, &ticket, use_case, account, key, hard_stop, hint);
+        self.balancer.ticket_arrived(now, &ticket, use_case, account, hard_stop, hint);
     }
 }
 
@@ -226,10 +225,3 @@
     let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
     digits.then(|| 1000 * text.parse().unwrap_or(WAIT_MOST_MS).min(WAIT_MOST_MS))
 }
-
-/// A key as a number, whatever its form: equal texts are equal numbers at all balancers (FNV-1a).
-fn key_number(text: &str) -> u64 {
-    let text = text.strip_prefix("k=").unwrap_or(text);
-    let mixed = |sum: u64, byte| (sum ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
-    text.parse().unwrap_or_else(|_| text.bytes().fold(0xcbf2_9ce4_8422_2325, mixed))
-}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,7 +15,7 @@
 
 use crate::arithmetic::{dot, mixed, project, relative, scattered, softplus};
 use crate::fading::{Fading, Mean};
-use crate::known::{Balancer, Dispatch, FEATURES, Scene, Ticket, Upstream};
+use crate::known::{Balancer, Dispatch, FEATURES, Fare, Scene, Ticket, Upstream};
 use crate::{Effect, Ending, Group, Host, Micros, Terms};
 
 #[cfg(test)]
@@ -24,23 +24,15 @@
 const SECOND: f64 = 1e6;
 
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents.
-const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, 7.0, -0.3];
+const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, -0.3];
 /// Part of its start value that a weight keeps, and the inverse of how far it grows: none changes sign.
 const FLOOR: f64 = 0.4;
 /// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
 const WIDEST: f64 = 3.0;
-/// Homes of a key, each with less pull than the last, and those for each upstream that it would fill.
-const KEY_RANKS: usize = 3;
-const KEY_SPREAD: f64 = 8.0;
-/// How long a key's part of the traffic is remembered, and doubts about what was met once or little seen.
-const KEY_LASTING: f64 = 60.0 * SECOND;
-const KEY_DOUBTS: (f64, f64) = (0.8, 40.0);
-/// Homes of one key that a balancer keeps to, and sums that all keys share: enough to tell the popular ones.
-const HOMES_KEPT: usize = 4;
-const KEY_SUMS: usize = 1024;
 /// Fewest balancers that keep to an upstream and upstreams that one keeps to, and near ones for each far one.
 const CIRCLE_SHARERS: usize = 4;
 const CIRCLE_LEAST: usize = 2;
+const CIRCLE_ASKED: usize = 5;
 const NEAR_FOR_ONE_FAR: usize = 2;
 /// Irrational part of a ring between neighbours' starts: they spread evenly whatever the numbers.
 const RING_START: f64 = 0.618_033_988_749_895;
@@ -61,6 +53,7 @@
 /// Answers that tell of an upstream's present state, and how many what is usual for its machine type counts.
 const HEARD_EACH: f64 = 4.0;
 const KIND_ANSWERS: f64 = 1.0;
+const KIND_ASKED: f64 = 8.0;
 
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
 const SILENT: f64 = 4.0;
@@ -114,6 +107,27 @@
 /// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
 const FOLLOW: (f64, f64) = (0.8, 32.0);
 
+/// Upstreams asked for each ticket; the part of the promised time that their answers are waited for, and when a
+/// ticket that found none in time asks again.
+const ASKED: usize = 4;
+const ASK_PART: Micros = 20;
+const ASK_AGAIN: Micros = 14;
+const ASKS_MOST: usize = 3;
+/// In place of a dispatch's number, for a ticket that asks.
+const ASKING: usize = usize::MAX;
+/// Part of its time that a ticket that earns nothing may take; one that earns most may take all.
+const WORTHLESS_PART: f64 = 0.5;
+/// How a dispatch ended, as the keeper of a book is told.
+const PASSED: u64 = 1;
+const FAILED: u64 = 2;
+/// How long a use case is kept from an upstream, its doublings, and the failed part from which it is.
+const SHUN: Micros = 4_000_000;
+const SHUN_DOUBLINGS: u32 = 2;
+const SHUNNED: (f64, f64) = (0.56, 2.5);
+/// How long dropped connections are believed in, and the rest that a dropped one had at least.
+const DROPPED_BELIEVED: Micros = 15_000_000;
+const RESTED_LEAST: Micros = 200_000;
+
 const FOLLOW_ALARM: u64 = 0;
 const PUMP_ALARM: u64 = 1;
 
@@ -121,7 +135,6 @@
     pub fn start(host: H, seed: u64, terms: Terms, now: Micros) -> Self {
         let mut balancer = Self::blank(host, WyRand::new_seed(seed), terms, START, now);
         (balancer.salt, balancer.let_through) = (mixed(seed, 0), START_THROUGH);
-        balancer.keys = vec![Fading::default(); KEY_SUMS];
         match balancer.follow_spread() {
             Some(0) => balancer.host.follow_list(),
             Some(spread) => balancer.host.wake(balancer.chance.generate_range(0..=spread), FOLLOW_ALARM),
@@ -161,7 +174,8 @@
         let at = *self.by_id.entry(Rc::from(id)).or_insert(blank);
         if at == blank {
             let hash = id.bytes().fold(0, |hash, byte| mixed(hash, u64::from(byte)));
-            self.upstreams[at] = Upstream { id: Rc::from(id), hash, ..Upstream::default() };
+            let fares = vec![Fare::default(); self.terms.use_cases.len()];
+            self.upstreams[at] = Upstream { id: Rc::from(id), hash, fares, ..Upstream::default() };
         }
         let upstream = &mut self.upstreams[at];
         (upstream.zone, upstream.kind, upstream.cell, upstream.ready) = (zone, kind, cell, true);
@@ -204,16 +218,11 @@
     /// How many upstreams this balancer keeps to, and how many balancers keep to each.
     fn circle(&self) -> (usize, f64) {
         let (ready, balancers) = (self.order.len(), self.terms.balancers);
-        let kept = (CIRCLE_SHARERS * ready).div_ceil(balancers).max(CIRCLE_LEAST).min(ready);
+        let least = if self.asks() { CIRCLE_ASKED } else { CIRCLE_LEAST };
+        let kept = (CIRCLE_SHARERS * ready).div_ceil(balancers).max(least).min(ready);
         (kept, (kept * balancers) as f64 / ready.max(1) as f64)
     }
 
-    /// How many upstreams a ticket looks among: for homes of its key beyond the circle, if loads are listed.
-    fn reach(&self) -> usize {
-        let far = self.terms.keys_kept && self.terms.loads_listed;
-        if far { self.order.len() } else { self.circle().0 }
-    }
-
     #[allow(clippy::too_many_arguments)]
     pub fn ticket_arrived(
         &mut self,
@@ -221,7 +230,6 @@
         id: &str,
         use_case: usize,
         account: usize,
-        key: Option<u64>,
         hard_stop: Micros,
         hint: Option<Micros>,
     ) {
@@ -229,40 +237,241 @@
             return self.host.dismiss(id, 0);
         };
         self.seen.arrivals.add(now, LASTING, 1.0);
-        if let Some(key) = key.filter(|_| self.terms.keys_kept) {
-            self.keys[mixed(key, 0) as usize % KEY_SUMS].add(now, KEY_LASTING, 1.0);
-            self.seen.keyed.add(now, KEY_LASTING, 1.0);
-        }
         let work = hint.map_or(1.0, |hint| {
             let usual = &mut self.paces[use_case].hint;
             usual.add(now, LASTING, hint as f64, 1.0);
             (hint as f64 / usual.read().unwrap_or(1.0).max(1.0)).clamp(0.1, 10.0)
         });
         let within_share = self.within_share(now, account);
-        let mut ticket = Ticket::new(Rc::from(id), use_case, promised, hard_stop, work, within_share);
+        let ticket = Ticket::new(Rc::from(id), use_case, promised, hard_stop, work, within_share);
         let [late, heard] =
             [&self.seen.pressure.total, &self.seen.pressure.weight].map(|s| s.read(now, SECOND));
         let ease = 1.0 - (late + HEARD_PRIOR) / (heard + HEARD_PRIOR);
         self.let_through = (self.let_through * (1.0 + THINNING * ease)).clamp(LEAST_THROUGH, 1.0);
-        // With several upstreams to itself, a balancer's in-flight limit alone is fine enough.
+        // With several upstreams to itself, a balancer's in-flight limit alone is fine enough; where upstreams
+        // are asked for their load, nothing has to be guessed.
         let own = self.order.len() as f64 / self.terms.balancers as f64;
-        let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + own.powi(4));
+        let felt = if self.asks() { 0.0 } else { 1.0 / (1.0 + own.powi(4)) };
+        let let_through = 1.0 - (1.0 - self.let_through) * felt;
         // Beyond the share gives way first.
         let part = if within_share { let_through } else { 2.0 * let_through - 1.0 };
         if self.chance.generate::<f64>() > part {
             return self.give_up(now, ticket);
         }
-        ticket.homes = self.homes(now, key);
         self.admit(now, ticket);
     }
 
     /// The ordinary path of a ticket.
     fn place(&mut self, now: Micros, ticket: &mut Ticket) -> bool {
         let (ready, trial) = self.candidates(now, ticket);
-        if let Some(u) = trial {
-            return self.send(now, ticket, u, None);
+        match trial {
+            Some(u) => self.send(now, ticket, u, None),
+            None => self.draw(now, ticket, &ready),
+        }
+    }
+
+    /// Whether what upstreams hold is asked for before a ticket is placed: of themselves or of who keeps their
+    /// book. A balancer with a ticket or two a second can't know it from its own.
+    fn asks(&self) -> bool {
+        self.terms.loads_probed || (self.terms.loads_untold && self.terms.peers)
+    }
+
+    /// Asks some of the candidates what they hold; the ticket is placed when they have answered.
+    fn ask(&mut self, now: Micros, mut ticket: Ticket) {
+        if self.last_start(&ticket) < now {
+            return self.give_up(now, ticket);
+        }
+        let (ready, trial) = self.candidates(now, &ticket);
+        if trial.is_some_and(|u| self.send(now, &mut ticket, u, None)) {
+            self.tickets.insert(Rc::clone(&ticket.id), ticket);
+            return;
+        }
+        ticket.answered.clear();
+        ticket.asks += 1;
+        ticket.waits = ready.into_iter().take(ASKED).collect();
+        if ticket.waits.is_empty() {
+            return self.hold(now, ticket);
+        }
+        let wait = self.terms.use_cases[ticket.use_case].promised_time / ASK_PART;
+        for u in ticket.waits.clone() {
+            let keeper = self.keeper(u);
+            let known = self.upstreams[u].held.is_some() && now < self.upstreams[u].reported + wait;
+            if known {
+                ticket.waits.retain(|waits| *waits != u);
+                ticket.answered.push(u);
+            } else if self.terms.loads_probed {
+                self.host.probe(&self.upstreams[u].id);
+            } else if keeper == self.terms.own_number {
+                self.upstreams[u].read_book(now);
+                ticket.waits.retain(|waits| *waits != u);
+                ticket.answered.push(u);
+            } else {
+                self.host.tell(Some(keeper), &format!("? {:x}", self.upstreams[u].short()));
+            }
+        }
+        if ticket.waits.is_empty() {
+            return self.place_asked(now, ticket);
+        }
+        let left = ticket.hard_stop.saturating_sub(now) / 2;
+        self.watch(&ticket, ASKING, wait.min(left));
+        self.asking.push(ticket);
+    }
+
+    /// An upstream that was asked has answered, or can't.
+    fn heard(&mut self, now: Micros, u: usize, answered: bool) {
+        for ticket in &mut self.asking {
+            if let Some(at) = ticket.waits.iter().position(|waits| *waits == u) {
+                ticket.waits.swap_remove(at);
+                ticket.answered.extend(answered.then_some(u));
+            }
+        }
+        while let Some(at) = self.asking.iter().position(|ticket| ticket.waits.is_empty()) {
+            let ticket = self.asking.remove(at);
+            self.place_asked(now, ticket);
         }
-        let rows = self.features(now, ticket, &ready);
+    }
+
+    /// What came back from a probe.
+    pub fn probed(&mut self, now: Micros, id: &str, answered: bool) {
+        if let Some(&u) = self.by_id.get(id) {
+            self.heard(now, u, answered);
+        }
+    }
+
+    /// Places a ticket among those that answered, as far as they would be in time; else it waits a little.
+    fn place_asked(&mut self, now: Micros, mut ticket: Ticket) {
+        let mut ready = std::mem::take(&mut ticket.answered);
+        if ready.is_empty() && !self.terms.loads_probed {
+            // Who keeps the book is gone or slow: better unasked than not at all.
+            ready = std::mem::take(&mut ticket.waits);
+        }
+        ready.retain(|&u| self.permitted(now, &ticket, u) && self.in_time(now, &ticket, u));
+        match !ready.is_empty() && self.draw(now, &mut ticket, &ready) {
+            true => _ = self.tickets.insert(Rc::clone(&ticket.id), ticket),
+            false => self.hold(now, ticket),
+        }
+    }
+
+    /// Whether an upstream would answer a ticket in the part of its time that its earnings are worth.
+    fn in_time(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
+        let Some((each, held)) = self.seen.each.read().zip(self.upstreams[u].held) else { return true };
+        let spare = ticket.promised.min(ticket.hard_stop).saturating_sub(now) as f64;
+        let earnings = |use_case: &crate::UseCase| use_case.earnings;
+        let most = self.terms.use_cases.iter().map(earnings).fold(0.0, f64::max);
+        let worth = match ticket.within_share {
+            true => earnings(&self.terms.use_cases[ticket.use_case]) / most,
+            false => 0.0,
+        };
+        let weight = self.capacity(u);
+        let likely = each * (held + ticket.work) / weight;
+        let part = WORTHLESS_PART + (1.0 - WORTHLESS_PART) * worth;
+        // With no hint of its work a ticket may be one of the long ones.
+        let pace = &self.paces[ticket.use_case];
+        let scatter = pace.hint.read().map_or(pace.scatter().min(2.0), |_| 0.0);
+        likely * (1.0 + scatter) <= spare * part
+    }
+
+    fn capacity(&self, u: usize) -> f64 {
+        let listed = self.upstreams[u].weight.read().filter(|w| self.terms.weights_listed && *w > 0.0);
+        listed.unwrap_or(1.0)
+    }
+
+    /// Which balancer keeps the book of an upstream: all know without a word.
+    fn keeper(&self, u: usize) -> usize {
+        (mixed(self.upstreams[u].hash, 0) % self.terms.balancers as u64) as usize
+    }
+
+    /// What another balancer tells: `+` it sent to an upstream, `-` how that ended, `?` asks for the load in the
+    /// book kept here, `=` answers that, `!` an upstream fails a use case, `~` idle connections are dropped.
+    /// All of it is hearsay that fades; what can't be read is passed over.
+    pub fn told(&mut self, now: Micros, from: usize, words: &str) {
+        let mut words = words.split(' ');
+        let what = words.next().unwrap_or_default();
+        let mut number = || words.next().and_then(|word| u64::from_str_radix(word, 16).ok());
+        let (Some(short), a, b) = (number(), number(), number()) else { return };
+        if what == "~" {
+            return self.believe_dropped(now, short);
+        }
+        let Some(u) = self.upstreams.iter().position(|up| up.short() == short && !up.id.is_empty()) else {
+            return;
+        };
+        match (what, a, b) {
+            ("+", ..) => self.upstreams[u].note(from, now),
+            ("-", Some(use_case), Some(how)) => self.noted(now, from, u, use_case as usize, how),
+            ("?", ..) => {
+                let held = self.upstreams[u].read_book(now);
+                self.host.tell(Some(from), &format!("= {short:x} {held:x}"));
+            }
+            ("=", Some(held), _) => {
+                (self.upstreams[u].held, self.upstreams[u].reported) = (Some(held as f64), now);
+                self.heard(now, u, true);
+            }
+            ("!", Some(use_case), Some(span)) => self.shun(now, u, use_case as usize, span),
+            _ => {}
+        }
+    }
+
+    /// Tells who keeps an upstream's book what was sent there or how it ended.
+    fn tell_keeper(&mut self, now: Micros, u: usize, ended: Option<(usize, u64)>) {
+        let (keeper, own, short) = (self.keeper(u), self.terms.own_number, self.upstreams[u].short());
+        match ended {
+            _ if !self.terms.peers => {}
+            None if self.terms.loads_probed => {}
+            None if keeper == own => self.upstreams[u].note(own, now),
+            None => self.host.tell(Some(keeper), &format!("+ {short:x}")),
+            Some((use_case, how)) if keeper == own => self.noted(now, own, u, use_case, how),
+            Some((use_case, how)) => {
+                self.host.tell(Some(keeper), &format!("- {short:x} {use_case:x} {how:x}"))
+            }
+        }
+    }
+
+    /// A dispatch ended at an upstream whose book is kept here. Where a use case fails there, all hear of it.
+    fn noted(&mut self, now: Micros, from: usize, u: usize, use_case: usize, how: u64) {
+        let upstream = &mut self.upstreams[u];
+        if let Some(at) = upstream.book.iter().position(|entry| entry.0 == from) {
+            upstream.book.remove(at);
+        }
+        let Some(fare) = upstream.fares.get_mut(use_case) else { return };
+        if how == PASSED {
+            return fare.succeeded.add(now, 2.0 * RECENT, 1.0);
+        } else if how != FAILED {
+            return;
+        }
+        fare.failed.add(now, 2.0 * RECENT, 1.0);
+        let (failed, succeeded) =
+            (fare.failed.read(now, 2.0 * RECENT), fare.succeeded.read(now, 2.0 * RECENT));
+        let again = now < fare.shunned_until + 2 * SHUN;
+        if failed < (if again { SHUNNED.1 / 2.0 } else { SHUNNED.1 })
+            || failed < SHUNNED.0 * (failed + succeeded)
+            || now < fare.shunned_until
+        {
+            return;
+        }
+        fare.times = if again { (fare.times + 1).min(SHUN_DOUBLINGS) } else { 0 };
+        let span = SHUN << fare.times;
+        let short = upstream.short();
+        self.host.tell(None, &format!("! {short:x} {use_case:x} {span:x}"));
+        self.shun(now, u, use_case, span);
+    }
+
+    /// Leaves an upstream out for one use case. Not all come back to it together.
+    fn shun(&mut self, now: Micros, u: usize, use_case: usize, span: Micros) {
+        let span = span.min(SHUN << SHUN_DOUBLINGS) as f64 * (1.0 + self.chance.generate::<f64>() / 2.0);
+        if let Some(fare) = self.upstreams[u].fares.get_mut(use_case) {
+            fare.shunned_until = now + span as Micros;
+        }
+    }
+
+    /// Idle connections that rested so long are not used for a while.
+    fn believe_dropped(&mut self, now: Micros, rested: Micros) {
+        let least = if now < self.dropped.1 { self.dropped.0.min(rested) } else { rested };
+        self.dropped = (least, now + DROPPED_BELIEVED);
+    }
+
+    /// Draws one of the candidates by the scoring function and sends the ticket there.
+    fn draw(&mut self, now: Micros, ticket: &mut Ticket, ready: &[usize]) -> bool {
+        let rows = self.features(now, ready);
         let score = |row| softplus(dot(&self.weights, row));
         let mut scored: Vec<(f64, usize)> = rows.iter().map(score).zip(0..).collect();
         scored.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -285,7 +494,7 @@
 
     /// What the mechanism knows of each candidate. Ratios to the candidates' mean make one weight vector
     /// serve upstreams of any speed and fleets of any size; what was never heard is the others' mean, 0.
-    fn features(&self, now: Micros, ticket: &Ticket, ready: &[usize]) -> Vec<[f64; FEATURES]> {
+    fn features(&self, now: Micros, ready: &[usize]) -> Vec<[f64; FEATURES]> {
         let ups = &self.upstreams;
         let gather = |known: &dyn Fn(usize, &Upstream) -> Option<f64>| -> Vec<f64> {
             let each = ready.iter().enumerate().map(|(i, &u)| known(i, &ups[u]));
@@ -301,10 +510,11 @@
                 usual.push((kind, of_kind.or(self.seen.answers.read())));
             }
         }
+        let prior = if self.asks() { KIND_ASKED } else { KIND_ANSWERS };
         // Few answers tell little: they pull what is usual for the machine type their way by their number.
         let shrunk = |up: &Upstream, own: Option<f64>, count: f64| {
             let usual = usual.iter().find(|known| known.0 == up.kind).and_then(|known| known.1).or(own)?;
-            Some((count * own.unwrap_or(usual) + KIND_ANSWERS * usual) / (count + KIND_ANSWERS))
+            Some((count * own.unwrap_or(usual) + prior * usual) / (count + prior))
         };
         let latency = gather(&|_, up| shrunk(up, up.latency(now), up.answers.weight.read(now, heard)));
         let capacity = gather(&|_, up| match self.terms.weights_listed {
@@ -315,19 +525,21 @@
         });
         // An old report speaks of a load that is gone; where there is none it weighs nothing.
         let age = |up: &Upstream| now.saturating_sub(up.reported) as f64;
-        let told = |up: &Upstream| up.queue.is_some() || up.utilisation.is_some();
+        let told = |up: &Upstream| up.queue.is_some() || up.utilisation.is_some() || up.held.is_some();
         let weight = |up: &Upstream| if told(up) { (-age(up) / heard * 2.0).exp() } else { 0.0 };
         let fresh: Vec<f64> = ready.iter().map(|&u| weight(&ups[u])).collect();
         let queue = gather(&|_, up| up.queue.map(|queue| queue + 1.0));
         let busy = gather(&|_, up| up.utilisation.map(|busy| busy + 0.1));
         // Own work in flight, and of what is reported the part that is the other balancers'.
         let others = |i: usize, up: &Upstream| (1.0 - 1.0 / sharers) * fresh[i] * up.queue.unwrap_or(0.0);
-        let in_flight = gather(&|i, up| Some(0.5 + up.work_in_flight + others(i, up)));
-        let met = |u: usize| ticket.homes.iter().find(|home| home.0 == u).map_or(0.0, |home| home.1);
+        let in_flight = gather(&|i, up| match up.held.filter(|_| self.asks()) {
+            Some(held) => Some(0.5 + held * fresh[i]),
+            None => Some(0.5 + up.work_in_flight + others(i, up)),
+        });
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
         let row = |(i, &u): (usize, &usize)| {
             let (busy, queue) = (busy[i] * fresh[i], queue[i] * fresh[i]);
-            [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), met(u), queue]
+            [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), queue]
         };
         ready.iter().enumerate().map(row).collect()
     }
@@ -340,16 +552,36 @@
         let (span, spent, _) = self.cold_budget(now, u);
         self.upstreams[u].cold_spent = (span, spent + ticket.work);
         let upstream = &mut self.upstreams[u];
+        let before = upstream.held;
         upstream.in_flight += 1;
         upstream.work_in_flight += ticket.work;
+        upstream.held = upstream.held.map(|held| held + 1.0);
         upstream.unanswered_since.get_or_insert(now);
         upstream.met_until = upstream.met_until.max(ticket.hard_stop);
         if !ticket.dispatches.is_empty() {
             self.seen.further.add(now, LASTING, 1.0);
         }
-        ticket.dispatches.push(Dispatch::new(u, now, scene));
-        self.host.dispatch(&ticket.id, &upstream.id, ticket.hard_stop);
-        self.watch(ticket, ticket.dispatches.len() - 1, self.patience(now, ticket, u));
+        let rested = upstream.used.map(|used| now.saturating_sub(used));
+        upstream.used = Some(now);
+        // What is sent on a connection dropped unseen is lost, and may not be sent again.
+        if now < self.dropped.1 && rested.is_some_and(|rested| rested >= self.dropped.0) {
+            self.host.close_idle(&upstream.id);
+        }
+        ticket.dispatches.push(Dispatch { rested, before, ..Dispatch::new(u, now, scene) });
+        let id = Rc::clone(&upstream.id);
+        // Where a dispatch can be neither joined by a copy nor called off, it ends by itself in time for another.
+        let lone = !self.terms.second_copies && !self.terms.may_call_off && self.redone(ticket);
+        let spare = ticket.promised.saturating_sub(now) as f64;
+        let failed = self.seen.failed.read(now, RECENT);
+        let share = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
+        let part = (0.85 - 1.5 * share).max(0.45);
+        let usual = PATIENCE.0 * self.expected(ticket.use_case);
+        let lone_patience = usual.max(spare * part).min(spare * 0.85).max(PUMP_EVERY as f64);
+        let patience = if lone { lone_patience as Micros } else { self.patience(now, ticket, u) };
+        let expire_at = if lone { (now + patience).min(ticket.hard_stop) } else { ticket.hard_stop };
+        self.host.dispatch(&ticket.id, &id, expire_at);
+        self.watch(ticket, ticket.dispatches.len() - 1, patience);
+        self.tell_keeper(now, u, None);
         true
     }
 
@@ -409,6 +641,7 @@
 
     pub fn client_left(&mut self, now: Micros, id: &str) {
         self.held.retain(|ticket| *ticket.id != *id);
+        self.asking.retain(|ticket| *ticket.id != *id);
         if let Some(ticket) = self.tickets.remove(id) {
             self.close(now, ticket, 0);
             self.pump(now);
@@ -455,10 +688,17 @@
             FOLLOW_ALARM => self.host.follow_list(),
             PUMP_ALARM => {
                 self.pump_set = false;
-                self.pump(now);
+                match self.asks() {
+                    true => std::mem::take(&mut self.held).into_iter().for_each(|t| self.ask(now, t)),
+                    false => self.pump(now),
+                }
             }
             _ => {
                 let Some((id, number)) = self.alarms.remove(&alarm) else { return };
+                if let Some(at) = self.asking.iter().position(|ticket| number == ASKING && ticket.id == id) {
+                    let ticket = self.asking.remove(at);
+                    return self.place_asked(now, ticket);
+                }
                 if let Some(ticket) = self.tickets.remove(&id) {
                     self.patience_ran_out(now, ticket, number);
                 }
@@ -491,7 +731,7 @@
             0 => warming.starts_at * self.seen.arrivals.read(now, LASTING),
             _ => self.seen.served.read(now, LASTING),
         };
-        let each = borne / self.lived(now) / self.reach().min(self.warm).max(1) as f64;
+        let each = borne / self.lived(now) / self.circle().0.min(self.warm).max(1) as f64;
         let span = age / warming.span.max(1);
         let chance = mixed(mixed(self.salt, upstream.hash), span) as f64 / u64::MAX as f64;
         let budget = COLD.0 * warming.multiple * grown * each * warming.span as f64;
@@ -499,8 +739,8 @@
         (span, if spent_in == span { spent } else { 0.0 }, (budget + chance).floor())
     }
 
-    /// The candidates to draw from, and one suspect due for a trial: the likely homes of the ticket's key and
-    /// the first of the own order that are open; where one is cold, full or suspected, the next takes its
+    /// The candidates to draw from, and one suspect due for a trial: the first of
+    /// the own order that are open; where one is cold, full or suspected, the next takes its
     /// place. Suspicion leaves a few in: when all seem ill, the cause lies elsewhere.
     fn candidates(&mut self, now: Micros, ticket: &Ticket) -> (Vec<usize>, Option<usize>) {
         // What is out may be of any use case: the slowest one sets how long silence is usual.
@@ -509,30 +749,33 @@
         let usual = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
         let heard = self.heard_within(now);
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
-        let mut open: Vec<usize> = ticket.homes.iter().map(|home| home.0).collect();
-        let most = self.circle().0 + open.len();
-        open.extend(self.order.iter().filter(|u| ticket.homes.iter().all(|home| home.0 != **u)));
-        let (mut ready, mut out, mut met) = (Vec::new(), Vec::new(), Vec::new());
-        for u in open {
-            if ready.len() >= most {
+        let (mut ready, mut out, mut met, mut shunned) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        for at in 0..self.order.len() {
+            if ready.len() >= self.circle().0 {
                 break;
             }
-            let (suspected, up) = (self.suspect(now, u, heard, expected, usual), &self.upstreams[u]);
+            let u = self.order[at];
+            // Where balancers tell each other what they met, the books say more than a few own outcomes.
+            let suspected = !self.asks() && self.suspect(now, u, heard, expected, usual);
+            let up = &self.upstreams[u];
             let room = self.has_room(now, u) || (suspected && up.in_flight == 0 && up.full_until <= now);
             if !room || !self.permitted(now, ticket, u) {
                 continue;
             } else if ticket.dispatches.iter().any(|d| d.upstream == u) {
                 met.push(u);
+            } else if up.fares.get(ticket.use_case).is_some_and(|fare| now < fare.shunned_until) {
+                shunned.push(u);
             } else if suspected {
                 out.push(u);
             } else {
                 ready.push(u);
             }
         }
-        if ready.is_empty() && out.is_empty() {
+        if ready.is_empty() && out.is_empty() && shunned.is_empty() {
             return (met, None);
         }
-        if out.len() > MOST_OUT * ready.len() {
+        if out.len() + shunned.len() > MOST_OUT * ready.len() {
+            ready.append(&mut shunned);
             ready.extend(out.into_iter().filter(|&u| self.has_room(now, u)));
             return (ready, None);
         }
@@ -557,35 +800,6 @@
         (ready, trial)
     }
 
-    /// Where a key's tickets likely went before, and how likely: all balancers rank alike by key. The larger
-    /// its part of the traffic, the more homes it has, of which this balancer keeps to its own order's first.
-    fn homes(&self, now: Micros, key: Option<u64>) -> Vec<(usize, f64)> {
-        let Some(key) = key.filter(|_| self.terms.keys_kept) else { return Vec::new() };
-        let met = self.keys[mixed(key, 0) as usize % KEY_SUMS].read(now, KEY_LASTING) - KEY_DOUBTS.0;
-        let share = met / (self.seen.keyed.read(now, KEY_LASTING) + KEY_DOUBTS.1);
-        let rank = |&(u, _): &(usize, f64)| std::cmp::Reverse(mixed(key, self.upstreams[u].hash));
-        let among = self.reach();
-        let full = KEY_SPREAD * share * among as f64;
-        let places = self.order.iter().take(among).enumerate();
-        let mut homes: Vec<(usize, f64)> = places.map(|(place, &u)| (u, place as f64)).collect();
-        let kept = self.circle().0.max(HOMES_KEPT);
-        let count = if full > kept as f64 { full as usize } else { KEY_RANKS + full as usize };
-        if count < homes.len() {
-            homes.select_nth_unstable_by_key(count, rank);
-            homes.truncate(count);
-        }
-        if full > kept as f64 {
-            homes.sort_by(|a, b| a.1.total_cmp(&b.1));
-            homes.truncate(kept);
-        } else {
-            homes.sort_by_key(rank);
-        }
-        for (rank, home) in homes.iter_mut().enumerate() {
-            home.1 = 1.0 / (1.0 + rank as f64 - full).max(1.0);
-        }
-        homes
-    }
-
     /// Whether an upstream is silent or fails more than the fleet does.
     fn suspect(&mut self, now: Micros, u: usize, heard: f64, expected: f64, usual: f64) -> bool {
         let upstream = &mut self.upstreams[u];
@@ -664,7 +878,8 @@
 
     fn has_room(&self, now: Micros, u: usize) -> bool {
         let up = &self.upstreams[u];
-        up.full_until <= now && (up.places() == 0.0 || up.places() + ROUNDING < self.limit(now, u))
+        up.full_until <= now
+            && (self.asks() || up.places() == 0.0 || up.places() + ROUNDING < self.limit(now, u))
     }
 
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
@@ -683,6 +898,7 @@
     /// The moment after which an answer would likely come too late.
     fn last_start(&self, ticket: &Ticket) -> Micros {
         let needed = match ticket.work > LONG.0 {
+            _ if self.asks() => self.seen.each.read().unwrap_or(0.0) * ticket.work,
             true => LONG.1 * self.quickest().min(self.expected(ticket.use_case)) * ticket.work,
             false => TIME_LEFT * self.expected(ticket.use_case) * ticket.work.max(1.0),
         };
@@ -691,6 +907,9 @@
 
     /// Places a ticket, holds it where it would be sent soon, or gives it up at once.
     fn admit(&mut self, now: Micros, mut ticket: Ticket) {
+        if self.asks() {
+            return self.ask(now, ticket);
+        }
         if self.held.is_empty() && self.pool_has_room(now) && self.place(now, &mut ticket) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
             return;
@@ -708,15 +927,29 @@
         self.set_pump();
     }
 
+    /// Lets a ticket that asked in vain ask once more later, if it could still be placed then.
+    fn hold(&mut self, now: Micros, ticket: Ticket) {
+        let promised = self.terms.use_cases[ticket.use_case].promised_time;
+        if now + promised / ASK_AGAIN > self.last_start(&ticket) || ticket.asks >= ASKS_MOST {
+            return self.give_up(now, ticket);
+        }
+        self.held.push(ticket);
+        self.set_pump();
+    }
+
     fn set_pump(&mut self) {
         if !self.pump_set && !self.held.is_empty() {
             self.pump_set = true;
-            self.host.wake(PUMP_EVERY, PUMP_ALARM);
+            let promised = self.terms.use_cases.iter().map(|c| c.promised_time).min().unwrap_or(0);
+            self.host.wake(if self.asks() { promised / ASK_AGAIN } else { PUMP_EVERY }, PUMP_ALARM);
         }
     }
 
     /// Sends held tickets while there is room, the most pressing first, and dismisses what is too late.
     fn pump(&mut self, now: Micros) {
+        if self.asks() {
+            return;
+        }
         for mut ticket in std::mem::take(&mut self.held) {
             if self.last_start(&ticket) < now {
                 self.give_up(now, ticket);
@@ -739,11 +972,19 @@
     }
 
     /// The load that an upstream reports: late.
-    pub fn load_reported(&mut self, now: Micros, id: &str, busy: Option<f64>, queue: Option<f64>) {
+    pub fn load_reported(
+        &mut self,
+        now: Micros,
+        id: &str,
+        busy: Option<f64>,
+        queue: Option<f64>,
+        held: Option<f64>,
+    ) {
         if let Some(&u) = self.by_id.get(id) {
             let upstream = &mut self.upstreams[u];
             upstream.utilisation = busy.filter(|busy| *busy >= 0.0);
-            upstream.queue = queue.filter(|queue| *queue >= 0.0);
+            upstream.held = held.filter(|held| *held >= 0.0);
+            upstream.queue = queue.filter(|queue| *queue >= 0.0).or(upstream.held);
             upstream.reported = now;
         }
     }
@@ -758,10 +999,33 @@
     fn ended(&mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros) {
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else { return };
         let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
+        let capacity = self.capacity(dispatch.upstream);
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
         let upstream = &mut self.upstreams[dispatch.upstream];
         upstream.end(dispatch, ticket.work);
+        upstream.used = Some(now);
+        let (u, rested, before) = (dispatch.upstream, dispatch.rested, dispatch.before);
+        // Called off as overdue to make way for another dispatch, it was silent.
+        let replaced = ending == Ending::CalledOff && dispatch.overdue && !self.terms.second_copies;
+        let ending = if replaced { Ending::Silent } else { ending };
+        let how = match ending {
+            Ending::Succeeded => PASSED,
+            Ending::CalledOff | Ending::NeverSent | Ending::TurnedAway => 0,
+            _ => FAILED,
+        };
+        self.tell_keeper(now, u, Some((ticket.use_case, how)));
+        if let (Ending::Broken, Some(rested)) = (ending, rested.filter(|rested| *rested >= RESTED_LEAST)) {
+            let known = now < self.dropped.1 && rested >= self.dropped.0;
+            if took < rested / 16 && !known {
+                let rested = rested / 2;
+                self.believe_dropped(now, rested);
+                if self.terms.peers {
+                    self.host.tell(None, &format!("~ {rested:x}"));
+                }
+            }
+        }
+        let upstream = &mut self.upstreams[u];
         if ending == Ending::CalledOff || ending == Ending::NeverSent {
             // A client that left early says nothing of the upstream.
             if upstream.in_flight == 0 && !upstream.suspected {
@@ -797,6 +1061,10 @@
             }
             upstream.succeeded.add(now, heard, 1.0);
             self.seen.succeeded.add(now, RECENT, 1.0);
+            if let Some(held) = before {
+                let each = took * ticket.work * capacity / (held + ticket.work);
+                self.seen.each.add(now, LASTING, each, 1.0);
+            }
             pace.present.add(now, RECENT, took, ticket.work);
             pace.lasting.add(now, LASTING, took, ticket.work);
             pace.squares.add(now, LASTING, took * took, ticket.work);
--- a/src/known.rs
+++ b/src/known.rs
@@ -9,12 +9,16 @@
 use crate::{Host, Micros, Terms};
 
 /// Features of an upstream for one ticket, each about 0 for an average one: constant, own latency, reported
-/// utilisation, own in flight, capacity, same zone, key likely met, reported queue.
-pub(crate) const FEATURES: usize = 8;
+/// utilisation, own in flight, capacity, same zone, reported queue.
+pub(crate) const FEATURES: usize = 7;
 
 /// How long a machine that left is known: one that comes back from a crash is as quick as before.
 const KNOWN_FOR: Micros = 60_000_000;
 
+/// Dispatches that a book holds at most, and for how long: longer than tickets take.
+const BOOK_MOST: usize = 1024;
+const BOOKED_FOR: Micros = 4_000_000;
+
 /// One upstream as this balancer knows it. Answer times are per usual ticket.
 #[derive(Default)]
 pub(crate) struct Upstream {
@@ -49,11 +53,29 @@
     pub(crate) failed_trials: u32,
     pub(crate) utilisation: Option<f64>,
     pub(crate) queue: Option<f64>,
+    /// What it holds in all, as far as it was told.
+    pub(crate) held: Option<f64>,
     pub(crate) reported: Micros,
+    /// When something was last sent there or came from it.
+    pub(crate) used: Option<Micros>,
+    /// What others told of their dispatches here, where this balancer keeps its book: who sent, and when.
+    pub(crate) book: Vec<(usize, Micros)>,
+    /// How each use case fares here.
+    pub(crate) fares: Vec<Fare>,
     /// Work sent in the span of its cold life with this number.
     pub(crate) cold_spent: (u64, f64),
 }
 
+/// How one use case fares at an upstream: outcomes told, and until when it is sent none.
+#[derive(Clone, Default)]
+pub(crate) struct Fare {
+    pub(crate) failed: Fading,
+    pub(crate) succeeded: Fading,
+    pub(crate) shunned_until: Micros,
+    /// Shunned so many times with little between.
+    pub(crate) times: u32,
+}
+
 /// What the mechanism saw when it drew: candidates by falling priority, and which was drawn.
 pub(crate) struct Scene {
     pub(crate) rows: Vec<[f64; FEATURES]>,
@@ -67,20 +89,22 @@
     pub(crate) out: bool,
     pub(crate) overdue: bool,
     pub(crate) may_have_run: bool,
+    /// How long its connection had rested, and what the upstream held then, where that is known.
+    pub(crate) rested: Option<Micros>,
+    pub(crate) before: Option<f64>,
     pub(crate) scene: Option<Scene>,
 }
 
 impl Dispatch {
     pub(crate) fn new(upstream: usize, sent: Micros, scene: Option<Scene>) -> Self {
-        Self { upstream, sent, out: true, overdue: false, may_have_run: true, scene }
+        let (rested, before) = (None, None);
+        Self { upstream, sent, out: true, overdue: false, may_have_run: true, rested, before, scene }
     }
 }
 
 pub(crate) struct Ticket {
     pub(crate) id: Rc<str>,
     pub(crate) use_case: usize,
-    /// Likely homes of its key, and how likely each.
-    pub(crate) homes: Vec<(usize, f64)>,
     pub(crate) promised: Micros,
     pub(crate) hard_stop: Micros,
     /// Work against a usual ticket of its use case.
@@ -88,6 +112,10 @@
     pub(crate) within_share: bool,
     pub(crate) streaming: bool,
     pub(crate) dispatches: Vec<Dispatch>,
+    /// Upstreams asked for their load that have not answered, and those that have.
+    pub(crate) waits: Vec<usize>,
+    pub(crate) asks: usize,
+    pub(crate) answered: Vec<usize>,
 }
 
 impl Ticket {
@@ -99,8 +127,20 @@
         work: f64,
         within_share: bool,
     ) -> Self {
-        let (homes, streaming, dispatches) = (Vec::new(), false, Vec::new());
-        Self { id, use_case, homes, promised, hard_stop, work, within_share, streaming, dispatches }
+        let (streaming, dispatches, waits, answered) = (false, Vec::new(), Vec::new(), Vec::new());
+        Self {
+            id,
+            use_case,
+            promised,
+            hard_stop,
+            work,
+            within_share,
+            streaming,
+            dispatches,
+            waits,
+            asks: 0,
+            answered,
+        }
     }
 }
 
@@ -129,10 +169,11 @@
     pub(crate) answers: Mean,
     pub(crate) payoffs: Mean,
     pub(crate) pressure: Mean,
+    /// Answer time for each ticket that an upstream of weight 1 holds, the own one included.
+    pub(crate) each: Mean,
     pub(crate) succeeded: Fading,
     pub(crate) failed: Fading,
     pub(crate) arrivals: Fading,
-    pub(crate) keyed: Fading,
     pub(crate) served: Fading,
     pub(crate) further: Fading,
     pub(crate) further_succeeded: Fading,
@@ -147,11 +188,14 @@
     pub(crate) by_id: HashMap<Rc<str>, usize>,
     /// All ready upstreams in this balancer's own order, the first of which it keeps to.
     pub(crate) order: Vec<usize>,
-    pub(crate) keys: Vec<Fading>,
     /// Answer times by machine type: what is heard of one tells of the others.
     pub(crate) kinds: HashMap<u64, Mean>,
     pub(crate) tickets: HashMap<Rc<str>, Ticket>,
     pub(crate) held: Vec<Ticket>,
+    /// Tickets that wait for what upstreams hold.
+    pub(crate) asking: Vec<Ticket>,
+    /// Idle connections were found dropped: after how long a rest, and until when that is believed.
+    pub(crate) dropped: (Micros, Micros),
     /// Tickets to look at, and the dispatch that each was set for.
     pub(crate) alarms: HashMap<u64, (Rc<str>, usize)>,
     pub(crate) last_alarm: u64,
@@ -187,10 +231,11 @@
             upstreams: Vec::new(),
             by_id: HashMap::new(),
             order: Vec::new(),
-            keys: Vec::new(),
             kinds: HashMap::new(),
             tickets: HashMap::new(),
             held: Vec::new(),
+            asking: Vec::new(),
+            dropped: (0, 0),
             alarms: HashMap::new(),
             last_alarm: 0,
             pump_set: false,
@@ -239,6 +284,25 @@
 }
 
 impl Upstream {
+    /// Its name in messages between balancers.
+    pub(crate) fn short(&self) -> u64 {
+        self.hash >> 40
+    }
+
+    /// Another balancer's dispatch, where this one keeps the book.
+    pub(crate) fn note(&mut self, from: usize, now: Micros) {
+        if self.book.len() < BOOK_MOST {
+            self.book.push((from, now));
+        }
+    }
+
+    /// What it holds by the book. A word that was lost must not count for ever.
+    pub(crate) fn read_book(&mut self, now: Micros) -> usize {
+        self.book.retain(|entry| entry.1 + BOOKED_FOR > now);
+        (self.held, self.reported) = (Some(self.book.len() as f64), now);
+        self.book.len()
+    }
+
     /// A dispatch is overdue: it no longer counts as load, but takes up its place until a later one succeeds.
     pub(crate) fn miss(&mut self, dispatch: &mut Dispatch, work: f64) {
         if !std::mem::replace(&mut dispatch.overdue, true) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,12 @@
     fn wake(&mut self, after: Micros, alarm: u64);
     /// Subscribes to changes of the list of upstreams.
     fn follow_list(&mut self);
+    /// Asks an upstream how it is; [`Balancer::probed`] tells what came back.
+    fn probe(&mut self, upstream: &str);
+    /// Closes the idle connections to an upstream.
+    fn close_idle(&mut self, upstream: &str);
+    /// Tells one balancer, or all others, something short; it may be lost.
+    fn tell(&mut self, balancer: Option<usize>, words: &str);
 }
 
 /// How a dispatch ended.
@@ -74,6 +80,8 @@
 pub struct UseCase {
     pub promised_time: Micros,
     pub effect: Effect,
+    /// What one unit of work earns, against that of other use cases.
+    pub earnings: f64,
 }
 
 /// How a fresh upstream warms, and what pushes it over.
@@ -95,11 +103,14 @@
     /// Set where the list must be asked for: the longest a balancer may go without asking.
     pub ask_within: Option<Micros>,
     pub weights_listed: bool,
-    /// The listed weights fall as an upstream holds more.
-    pub loads_listed: bool,
-    pub keys_kept: bool,
     pub may_call_off: bool,
     pub second_copies: bool,
+    /// Upstreams tell their load when probed, and only then.
+    pub loads_probed: bool,
+    /// Neither answers nor probes tell any load.
+    pub loads_untold: bool,
+    /// Balancers may send one another messages.
+    pub peers: bool,
     pub most_dispatches: usize,
     pub longest_come_back: Micros,
     pub warming: Warming,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -22,13 +22,16 @@
         },
         other => return Err(format!("field 'effect' holds unknown '{other}'")),
     };
-    Ok(UseCase { promised_time: whole(class, "promisedTimeUs")?, effect })
+    let earnings = optional(class, "earnings", Value::as_f64)?.unwrap_or(1.0);
+    if !(earnings > 0.0 && earnings.is_finite()) {
+        return Err(format!("field 'earnings' is {earnings}, not above 0"));
+    }
+    Ok(UseCase { promised_time: whole(class, "promisedTimeUs")?, effect, earnings })
 }
 
 /// What the deployment lays down, from the object that the settings are.
 pub fn terms(conf: &Value) -> Decoded<Terms> {
     let (caps, rules) = (part(conf, "caps")?, part(conf, "rules")?);
-    let family = optional(conf, "familyInfo", Some)?.unwrap_or(&Value::Null);
     let accounts = optional(conf, "accounts", Value::as_array)?;
     let (balancers, own_number) = (count(conf, "fleetSize")?, count(conf, "me")?);
     if balancers == 0 {
@@ -37,6 +40,13 @@
     if own_number >= balancers {
         return Err(format!("field 'me' is {own_number} in a fleet of {balancers}"));
     }
+    let source = match optional(conf, "report", Some)? {
+        Some(report) => text(report, "source")?,
+        None => "inline",
+    };
+    if !["inline", "on_probe", "off"].contains(&source) {
+        return Err(format!("field 'source' holds unknown '{source}'"));
+    }
     Ok(Terms {
         balancers,
         own_number,
@@ -46,10 +56,11 @@
             _ => None,
         },
         weights_listed: text(conf, "weightKind")? != "off",
-        loads_listed: text(conf, "weightKind")? == "live",
-        keys_kept: flag(family, "warmKeys")?,
         may_call_off: flag(caps, "cancel")?,
         second_copies: flag(caps, "secondCopies")?,
+        loads_probed: source == "on_probe" && flag(caps, "probes")?,
+        loads_untold: source == "off",
+        peers: flag(caps, "peers")?,
         most_dispatches: count(caps, "maxDispatches")?,
         longest_come_back: match flag(caps, "retryAfter")? {
             true => whole(caps, "maxRetryAfterUs")?,
