--- a/src/decide.rs
+++ b/src/decide.rs
@@ -71,6 +71,9 @@
 const PATIENCE: (f64, f64) = (3.0, 4.0);
 /// Further dispatches as a share of tickets when all recent ones succeeded, and some that are always open.
 const FURTHER: (f64, f64) = (0.3, 2.0);
+/// Parts of a ticket's time that a dispatch which nothing can join or end waits at least and at most, and how
+/// much less of it where a share of all dispatches fails.
+const LONE: (f64, f64, f64) = (0.45, 0.85, 1.5);
 
 /// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
 const FOLLOWS: (f64, f64) = (0.1, 0.002);
@@ -103,6 +106,9 @@
 
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
 const COLD: (f64, f64) = (0.4, 0.5);
+/// Part of the budget that may be held where all of it was told, and the part of the fall time it is fresh for.
+const COLD_HELD: f64 = 0.5;
+const COLD_TOLD_PART: Micros = 16;
 
 /// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
 const FOLLOW: (f64, f64) = (0.8, 32.0);
@@ -127,6 +133,7 @@
 /// How long dropped connections are believed in, and the rest that a dropped one had at least.
 const DROPPED_BELIEVED: Micros = 15_000_000;
 const RESTED_LEAST: Micros = 200_000;
+const DROPPED_WITHIN: Micros = 100;
 
 const FOLLOW_ALARM: u64 = 0;
 const PUMP_ALARM: u64 = 1;
@@ -354,7 +361,7 @@
 
     /// Whether an upstream would answer a ticket in the part of its time that its earnings are worth.
     fn in_time(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
-        let Some((each, held)) = self.seen.each.read().zip(self.upstreams[u].held) else { return true };
+        let Some((each, held)) = self.each(now, u).zip(self.upstreams[u].held) else { return true };
         let spare = ticket.promised.min(ticket.hard_stop).saturating_sub(now) as f64;
         let earnings = |use_case: &crate::UseCase| use_case.earnings;
         let most = self.terms.use_cases.iter().map(earnings).fold(0.0, f64::max);
@@ -362,8 +369,7 @@
             true => earnings(&self.terms.use_cases[ticket.use_case]) / most,
             false => 0.0,
         };
-        let weight = self.capacity(u);
-        let likely = each * (held + ticket.work) / weight;
+        let likely = each * (held + ticket.work);
         let part = WORTHLESS_PART + (1.0 - WORTHLESS_PART) * worth;
         // With no hint of its work a ticket may be one of the long ones.
         let pace = &self.paces[ticket.use_case];
@@ -371,6 +377,11 @@
         likely * (1.0 + scatter) <= spare * part
     }
 
+    /// Answer time for each ticket that an upstream holds, as is usual for its capacity.
+    fn each(&self, now: Micros, u: usize) -> Option<f64> {
+        self.seen.each.read().map(|each| each / self.capacity(u) / self.grown(now, u))
+    }
+
     fn capacity(&self, u: usize) -> f64 {
         let listed = self.upstreams[u].weight.read().filter(|w| self.terms.weights_listed && *w > 0.0);
         listed.unwrap_or(1.0)
@@ -403,7 +414,8 @@
                 self.host.tell(Some(from), &format!("= {short:x} {held:x}"));
             }
             ("=", Some(held), _) => {
-                (self.upstreams[u].held, self.upstreams[u].reported) = (Some(held as f64), now);
+                let upstream = &mut self.upstreams[u];
+                (upstream.held, upstream.reported) = (Some(held.min(1 << 16) as f64), now);
                 self.heard(now, u, true);
             }
             ("!", Some(use_case), Some(span)) => self.shun(now, u, use_case as usize, span),
@@ -574,9 +586,9 @@
         let spare = ticket.promised.saturating_sub(now) as f64;
         let failed = self.seen.failed.read(now, RECENT);
         let share = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
-        let part = (0.85 - 1.5 * share).max(0.45);
+        let least = spare * (LONE.1 - LONE.2 * share).max(LONE.0);
         let usual = PATIENCE.0 * self.expected(ticket.use_case);
-        let lone_patience = usual.max(spare * part).min(spare * 0.85).max(PUMP_EVERY as f64);
+        let lone_patience = usual.max(least).min(LONE.1 * spare).max(PUMP_EVERY as f64);
         let patience = if lone { lone_patience as Micros } else { self.patience(now, ticket, u) };
         let expire_at = if lone { (now + patience).min(ticket.hard_stop) } else { ticket.hard_stop };
         self.host.dispatch(&ticket.id, &id, expire_at);
@@ -594,6 +606,13 @@
 
     /// The four rules for one more dispatch of a ticket to an upstream.
     fn permitted(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
+        let (_, spent, budget) = self.cold_budget(now, u);
+        let cold = spent + ticket.work <= budget + COLD.1 || self.cold_room(now, u);
+        cold && self.open_to(now, ticket, u)
+    }
+
+    /// The rules but for the cold.
+    fn open_to(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
         let upstream = &self.upstreams[u];
         let open = now < ticket.hard_stop
             && !ticket.streaming
@@ -613,8 +632,7 @@
                 same && now < d.sent + window
             }),
         };
-        let (_, spent, budget) = self.cold_budget(now, u);
-        open && again && upstream.ready && spent + ticket.work <= budget + COLD.1
+        open && again && upstream.ready
     }
 
     pub fn dispatch_ended(&mut self, now: Micros, id: &str, n: usize, last: bool, how: Ending, took: Micros) {
@@ -725,8 +743,7 @@
         }
         let (warming, upstream) = (&self.terms.warming, &self.upstreams[u]);
         let age = now.saturating_sub(upstream.launched);
-        let grown =
-            warming.starts_at + (1.0 - warming.starts_at) * (age as f64 / warming.warm_after as f64).min(1.0);
+        let grown = self.grown(now, u);
         let borne = match self.warm {
             0 => warming.starts_at * self.seen.arrivals.read(now, LASTING),
             _ => self.seen.served.read(now, LASTING),
@@ -739,6 +756,26 @@
         (span, if spent_in == span { spent } else { 0.0 }, (budget + chance).floor())
     }
 
+    /// How far a cold upstream has grown at least; 1 where it is warm.
+    fn grown(&self, now: Micros, u: usize) -> f64 {
+        if !self.is_cold(now, u) {
+            return 1.0;
+        }
+        let (warming, age) = (&self.terms.warming, now.saturating_sub(self.upstreams[u].launched));
+        warming.starts_at + (1.0 - warming.starts_at) * age as f64 / warming.warm_after as f64
+    }
+
+    /// Whether a cold upstream that just told what it holds, of all balancers, holds little against its budget.
+    fn cold_room(&self, now: Micros, u: usize) -> bool {
+        let (upstream, warming) = (&self.upstreams[u], &self.terms.warming);
+        let fresh = self.asks() && now < upstream.reported + warming.span / COLD_TOLD_PART;
+        let Some((held, each)) = upstream.held.filter(|_| fresh).zip(self.seen.each.read()) else {
+            return false;
+        };
+        let done = self.grown(now, u) * self.capacity(u) * warming.span as f64 / each;
+        held + 1.0 <= COLD_HELD * COLD.0 * warming.multiple * done
+    }
+
     /// The candidates to draw from, and one suspect due for a trial: the first of
     /// the own order that are open; where one is cold, full or suspected, the next takes its
     /// place. Suspicion leaves a few in: when all seem ill, the cause lies elsewhere.
@@ -759,7 +796,10 @@
             let suspected = !self.asks() && self.suspect(now, u, heard, expected, usual);
             let up = &self.upstreams[u];
             let room = self.has_room(now, u) || (suspected && up.in_flight == 0 && up.full_until <= now);
-            if !room || !self.permitted(now, ticket, u) {
+            // What a cold one holds has to be asked for first.
+            let open =
+                if self.asks() { self.open_to(now, ticket, u) } else { self.permitted(now, ticket, u) };
+            if !room || !open {
                 continue;
             } else if ticket.dispatches.iter().any(|d| d.upstream == u) {
                 met.push(u);
@@ -1017,7 +1057,7 @@
         self.tell_keeper(now, u, Some((ticket.use_case, how)));
         if let (Ending::Broken, Some(rested)) = (ending, rested.filter(|rested| *rested >= RESTED_LEAST)) {
             let known = now < self.dropped.1 && rested >= self.dropped.0;
-            if took < rested / 16 && !known {
+            if took < self.terms.use_cases[ticket.use_case].promised_time / DROPPED_WITHIN && !known {
                 let rested = rested / 2;
                 self.believe_dropped(now, rested);
                 if self.terms.peers {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -24,8 +24,8 @@
 }
 
 impl Host for Diary {
-    fn dispatch(&mut self, ticket: &str, upstream: &str, _: Micros) {
-        self.note(format!("dispatch {ticket} {upstream}"));
+    fn dispatch(&mut self, ticket: &str, upstream: &str, expire_at: Micros) {
+        self.note(format!("dispatch {ticket} {upstream} until {}", expire_at - START_AT));
     }
     fn call_off(&mut self, ticket: &str, dispatch: usize) {
         self.note(format!("call off {ticket} {dispatch}"));
@@ -570,3 +570,127 @@
     let (part, all) = (kept(40 * TEACHING), TEACHING);
     assert!(part < all / 4, "{part} of {all}, and a fortieth is meant");
 }
+
+/// One of so many whose upstreams tell their load to probes, or to nobody, and that may send messages.
+fn asking(effect: Effect, probed: bool) -> (Balancer<Diary>, Diary) {
+    let (mut balancer, diary) = balancer(effect, 4);
+    (balancer.terms.second_copies, balancer.terms.peers) = (false, true);
+    (balancer.terms.loads_probed, balancer.terms.loads_untold) = (probed, !probed);
+    (balancer.terms.balancers, balancer.terms.own_number) = (1_000, 1_000);
+    (balancer, diary)
+}
+
+/// Hears what an upstream holds, as a probe or its keeper tells.
+fn holds(balancer: &mut Balancer<Diary>, now: Micros, u: usize, held: u64) {
+    let (id, short) = (Rc::clone(&balancer.upstreams[u].id), balancer.upstreams[u].short());
+    match balancer.terms.loads_probed {
+        true => {
+            balancer.load_reported(now, &id, None, None, Some(held as f64));
+            balancer.probed(now, &id, true);
+        }
+        false => balancer.told(now, 3, &format!("= {short:x} {held:x}")),
+    }
+}
+
+/// A balancer with a ticket or two a second knows no load by itself.
+#[rstest]
+#[case::by_probes(true, "probe")]
+#[case::by_books(false, "tell")]
+fn a_ticket_goes_where_least_is_held(#[case] probed: bool, #[case] asks: &str) {
+    let (mut balancer, diary) = asking(Effect::Redoable, probed);
+    for n in 0..20 {
+        let now = START_AT + n * 1_000 * MS;
+        arrive(&mut balancer, now, &n.to_string());
+        (0..4).for_each(|u| holds(&mut balancer, now + MS, u, if u == 2 { 0 } else { 9 }));
+    }
+    assert!(diary.count(asks) >= 4 && diary.count("dispatch") == 20);
+    let elsewhere = [0, 1, 3].map(|u| balancer.upstreams[u].in_flight).iter().sum::<usize>();
+    assert!(balancer.upstreams[2].in_flight >= 18 && elsewhere <= 2);
+}
+
+/// Who was asked may be gone, stalled or slow.
+#[rstest]
+#[case::by_probes(true, 0, 1)]
+#[case::by_books(false, 1, 0)]
+fn asking_in_vain_leaves_no_ticket_without_answer(
+    #[case] probed: bool,
+    #[case] dispatched: usize,
+    #[case] dismissed: usize,
+) {
+    let (mut balancer, diary) = asking(Effect::Redoable, probed);
+    arrive(&mut balancer, START_AT, "a");
+    for turn in 1..100 {
+        let now = START_AT + turn * 20 * MS;
+        balancer.alarm_rang(now, PUMP_ALARM);
+        (PUMP_ALARM + 1..=balancer.last_alarm).for_each(|alarm| balancer.alarm_rang(now, alarm));
+    }
+    assert_eq!((diary.count("dispatch"), diary.count("dismiss")), (dispatched, dismissed));
+    assert!(balancer.asking.is_empty() && balancer.held.is_empty());
+}
+
+#[rstest]
+fn a_book_counts_what_all_sent_and_forgets_lost_words() {
+    let (mut balancer, diary) = asking(Effect::Redoable, false);
+    let short = balancer.upstreams[1].short();
+    (0..3).for_each(|from| balancer.told(START_AT, from, &format!("+ {short:x}")));
+    balancer.told(START_AT + 100 * MS, 2, &format!("- {short:x} 0 1"));
+    balancer.told(START_AT + 100 * MS, 9, &format!("? {short:x}"));
+    assert_eq!(diary.count(&format!("tell 9 = {short:x} 2")), 1);
+    assert_eq!(balancer.upstreams[1].read_book(START_AT + 10_000 * MS), 0);
+}
+
+/// Where a third of all answers are lost nobody is shunned, or the load would pile up on the rest.
+#[rstest]
+#[case::fails(4, 3, true)]
+#[case::answers_lost(3, 1, false)]
+fn a_use_case_is_kept_from_where_it_fails(#[case] of: u64, #[case] fail: u64, #[case] told: bool) {
+    let (mut balancer, diary) = asking(Effect::Redoable, false);
+    for n in 0..24 {
+        let how = if n % of < fail { FAILED } else { PASSED };
+        balancer.noted(START_AT + n * 100 * MS, 5, 1, 0, how);
+    }
+    assert_eq!(diary.count("tell all !") > 0, told);
+    let (ready, _) = balancer.candidates(START_AT + 2_500 * MS, &ticket(&[], false));
+    assert_eq!(ready.contains(&1), !told);
+}
+
+#[rstest]
+#[case("")]
+#[case("=")]
+#[case("! zz 0 1")]
+#[case("! ffffffffffffffffff 0 1")]
+#[case("- 1 ffffffffffffffff 1")]
+#[case("~")]
+fn words_that_cannot_be_read_change_nothing(#[case] words: &str) {
+    let (mut balancer, diary) = asking(Effect::Redoable, false);
+    balancer.told(START_AT, 0, words);
+    assert_eq!((balancer.dropped, diary.count("tell")), ((0, 0), 0));
+}
+
+/// What is sent on a connection that was dropped unseen is lost, and an irreversible ticket with it.
+#[rstest]
+#[case::at_once(MS, true)]
+#[case::under_way(900 * MS, false)]
+fn rested_connections_are_closed_once_one_was_found_dropped(#[case] took: Micros, #[case] dropped: bool) {
+    let (mut balancer, diary) = asking(Effect::Irreversible, false);
+    balancer.terms.peers = dropped;
+    let mut sent = ticket(&[0], true);
+    (sent.dispatches[0].out, sent.dispatches[0].rested) = (true, Some(2_000 * MS));
+    balancer.ended(START_AT, &mut sent, 0, Ending::Broken, took);
+    balancer.upstreams[1].used = Some(START_AT);
+    balancer.send(START_AT + 3_000 * MS, &mut ticket(&[], false), 1, None);
+    assert_eq!((diary.count("tell all ~"), diary.count("close u1")), if dropped { (1, 1) } else { (0, 0) });
+}
+
+/// It can be neither joined by a copy nor called off: expiring with its ticket it would leave no time.
+#[rstest]
+#[case::redoable(Effect::Redoable, true)]
+#[case::irreversible(Effect::Irreversible, false)]
+fn a_lone_dispatch_ends_in_time_for_another(#[case] effect: Effect, #[case] early: bool) {
+    let (mut balancer, _) = asking(effect, false);
+    balancer.terms.may_call_off = false;
+    let mut sent = ticket(&[], false);
+    balancer.send(START_AT, &mut sent, 0, None);
+    let until = balancer.host.0.borrow().iter().find_map(|act| act.split(" until ").nth(1)?.parse().ok());
+    assert_eq!(until < Some(sent.promised - START_AT), early);
+}
