--- a/src/decide.rs
+++ b/src/decide.rs
@@ -122,7 +122,7 @@
 /// In place of a dispatch's number, for a ticket that asks.
 const ASKING: usize = usize::MAX;
 /// Part of its time that a ticket that earns nothing may take; one that earns most may take all.
-const WORTHLESS_PART: f64 = 0.5;
+const WORTHLESS_PART: f64 = 0.3;
 /// How a dispatch ended, as the keeper of a book is told.
 const PASSED: u64 = 1;
 const FAILED: u64 = 2;
@@ -369,12 +369,11 @@
             true => earnings(&self.terms.use_cases[ticket.use_case]) / most,
             false => 0.0,
         };
-        let likely = each * (held + ticket.work);
         let part = WORTHLESS_PART + (1.0 - WORTHLESS_PART) * worth;
         // With no hint of its work a ticket may be one of the long ones.
         let pace = &self.paces[ticket.use_case];
         let scatter = pace.hint.read().map_or(pace.scatter().min(2.0), |_| 0.0);
-        likely * (1.0 + scatter) <= spare * part
+        each * held * (1.0 + scatter) <= part * (spare - each * ticket.work * (1.0 + scatter))
     }
 
     /// Answer time for each ticket that an upstream holds, as is usual for its capacity.
