--- a/src/decide.rs
+++ b/src/decide.rs
@@ -116,9 +116,14 @@
 /// Upstreams asked for each ticket; the part of the promised time that their answers are waited for, and when a
 /// ticket that found none in time asks again.
 const ASKED: usize = 4;
+/// What an upstream that told to hold nothing counts as holding: with one core, one that holds a ticket is far
+/// from it; where weights are listed most have several.
+const IDLE: (f64, f64) = (0.2, 0.5);
 const ASK_PART: Micros = 20;
 const ASK_AGAIN: Micros = 14;
 const ASKS_MOST: usize = 3;
+/// Answers that what is expected unheard counts as, and the part of the promised time that is expected then.
+const EACH: (f64, f64) = (3.0, 0.125);
 /// In place of a dispatch's number, for a ticket that asks.
 const ASKING: usize = usize::MAX;
 /// Part of its time that a ticket that earns nothing may take; one that earns most may take all.
@@ -285,7 +290,7 @@
 
     /// Asks some of the candidates what they hold; the ticket is placed when they have answered.
     fn ask(&mut self, now: Micros, mut ticket: Ticket) {
-        if self.last_start(&ticket) < now {
+        if self.last_start(now, &ticket) < now {
             return self.give_up(now, ticket);
         }
         let (ready, trial) = self.candidates(now, &ticket);
@@ -361,7 +366,7 @@
 
     /// Whether an upstream would answer a ticket in the part of its time that its earnings are worth.
     fn in_time(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
-        let Some((each, held)) = self.each(now, u).zip(self.upstreams[u].held) else { return true };
+        let (each, Some(held)) = (self.each(now, u), self.upstreams[u].held) else { return true };
         let spare = ticket.promised.min(ticket.hard_stop).saturating_sub(now) as f64;
         let earnings = |use_case: &crate::UseCase| use_case.earnings;
         let most = self.terms.use_cases.iter().map(earnings).fold(0.0, f64::max);
@@ -376,9 +381,14 @@
         each * held * (1.0 + scatter) <= part * (spare - each * ticket.work * (1.0 + scatter))
     }
 
-    /// Answer time for each ticket that an upstream holds, as is usual for its capacity.
-    fn each(&self, now: Micros, u: usize) -> Option<f64> {
-        self.seen.each.read().map(|each| each / self.capacity(u) / self.grown(now, u))
+    /// Answer time for each ticket that an upstream holds, as is usual for its capacity. Few or old answers count
+    /// little: one long ticket would else look as if none could be in time, and nothing more would be learned.
+    fn each(&self, now: Micros, u: usize) -> f64 {
+        let promised = self.terms.use_cases.iter().map(|c| c.promised_time).min().unwrap_or(0) as f64;
+        let [sum, count] =
+            [&self.seen.each.total, &self.seen.each.weight].map(|part| part.read(now, LASTING));
+        let usual = (sum / self.capacity(u) + EACH.0 * EACH.1 * promised) / (count + EACH.0);
+        usual / self.grown(now, u)
     }
 
     fn capacity(&self, u: usize) -> f64 {
@@ -543,8 +553,9 @@
         let busy = gather(&|_, up| up.utilisation.map(|busy| busy + 0.1));
         // Own work in flight, and of what is reported the part that is the other balancers'.
         let others = |i: usize, up: &Upstream| (1.0 - 1.0 / sharers) * fresh[i] * up.queue.unwrap_or(0.0);
+        let idle = if self.terms.weights_listed { IDLE.1 } else { IDLE.0 };
         let in_flight = gather(&|i, up| match up.held.filter(|_| self.asks()) {
-            Some(held) => Some(0.5 + held * fresh[i]),
+            Some(held) => Some(idle + held * fresh[i]),
             None => Some(0.5 + up.work_in_flight + others(i, up)),
         });
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
@@ -768,10 +779,8 @@
     fn cold_room(&self, now: Micros, u: usize) -> bool {
         let (upstream, warming) = (&self.upstreams[u], &self.terms.warming);
         let fresh = self.asks() && now < upstream.reported + warming.span / COLD_TOLD_PART;
-        let Some((held, each)) = upstream.held.filter(|_| fresh).zip(self.seen.each.read()) else {
-            return false;
-        };
-        let done = self.grown(now, u) * self.capacity(u) * warming.span as f64 / each;
+        let Some(held) = upstream.held.filter(|_| fresh) else { return false };
+        let done = warming.span as f64 / self.each(now, u);
         held + 1.0 <= COLD_HELD * COLD.0 * warming.multiple * done
     }
 
@@ -935,9 +944,12 @@
     }
 
     /// The moment after which an answer would likely come too late.
-    fn last_start(&self, ticket: &Ticket) -> Micros {
+    fn last_start(&self, now: Micros, ticket: &Ticket) -> Micros {
         let needed = match ticket.work > LONG.0 {
-            _ if self.asks() => self.seen.each.read().unwrap_or(0.0) * ticket.work,
+            _ if self.asks() => {
+                let each = self.order.iter().take(self.circle().0).map(|&u| self.each(now, u));
+                each.fold(f64::INFINITY, f64::min) * ticket.work
+            }
             true => LONG.1 * self.quickest().min(self.expected(ticket.use_case)) * ticket.work,
             false => TIME_LEFT * self.expected(ticket.use_case) * ticket.work.max(1.0),
         };
@@ -957,7 +969,7 @@
         let place = self.held.partition_point(|held| held.promised <= ticket.promised);
         let wait = place as f64 / rate.max(1.0 / SECOND);
         // With nothing to spare a ticket is not even held until the next look: its hard stop may come first.
-        let slack = self.last_start(&ticket) as f64 - now as f64;
+        let slack = self.last_start(now, &ticket) as f64 - now as f64;
         let part = if ticket.within_share { HELD_PART.0 } else { HELD_PART.1 };
         if slack <= 0.0 || wait > part * slack {
             return self.give_up(now, ticket);
@@ -969,7 +981,7 @@
     /// Lets a ticket that asked in vain ask once more later, if it could still be placed then.
     fn hold(&mut self, now: Micros, ticket: Ticket) {
         let promised = self.terms.use_cases[ticket.use_case].promised_time;
-        if now + promised / ASK_AGAIN > self.last_start(&ticket) || ticket.asks >= ASKS_MOST {
+        if now + promised / ASK_AGAIN > self.last_start(now, &ticket) || ticket.asks >= ASKS_MOST {
             return self.give_up(now, ticket);
         }
         self.held.push(ticket);
@@ -990,7 +1002,7 @@
             return;
         }
         for mut ticket in std::mem::take(&mut self.held) {
-            if self.last_start(&ticket) < now {
+            if self.last_start(now, &ticket) < now {
                 self.give_up(now, ticket);
             } else if self.pool_has_room(now) && self.place(now, &mut ticket) {
                 self.tickets.insert(Rc::clone(&ticket.id), ticket);
