--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,29 +13,25 @@
 
 use nanorand::{Rng, WyRand};
 
-use crate::arithmetic::{dot, mixed, project, relative, scattered, softplus};
-use crate::fading::{Fading, Mean};
-use crate::known::{Balancer, Dispatch, FEATURES, Fare, Scene, Ticket, Upstream};
+use crate::arithmetic::{clipped_step, dot, mixed, project, relative, softplus};
+use crate::known::{Balancer, Dispatch, FEATURES, Scene, Ticket, Upstream};
+use crate::measures::{LASTING, RECENT, SECOND};
+use crate::words::{Fate, Word};
 use crate::{Effect, Ending, Group, Host, Micros, Terms};
 
 #[cfg(test)]
 mod tests;
 
-const SECOND: f64 = 1e6;
-
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents.
 const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, -0.3];
 /// Part of its start value that a weight keeps, and the inverse of how far it grows: none changes sign.
 const FLOOR: f64 = 0.4;
 /// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
 const WIDEST: f64 = 3.0;
-/// Fewest balancers that keep to an upstream and upstreams that one keeps to, and near ones for each far one.
+/// Fewest balancers that keep to an upstream and upstreams that one keeps to.
 const CIRCLE_SHARERS: usize = 4;
 const CIRCLE_LEAST: usize = 2;
-const CIRCLE_ASKED: usize = 5;
-const NEAR_FOR_ONE_FAR: usize = 2;
-/// Irrational part of a ring between neighbours' starts: they spread evenly whatever the numbers.
-const RING_START: f64 = 0.618_033_988_749_895;
+const CIRCLE_ASKED: usize = 6;
 const STEP: f64 = 0.1;
 const CLIP: f64 = 0.2; // the paper's ε
 const EPOCHS: usize = 2;
@@ -46,15 +42,6 @@
 const TEACHING: usize = 32;
 const UPDATE_EVERY: Micros = 2_000_000;
 
-/// Horizons of the present and of what describes a machine.
-const RECENT: f64 = 2.0 * SECOND;
-const LASTING: f64 = 15.0 * SECOND;
-
-/// Answers that tell of an upstream's present state, and how many what is usual for its machine type counts.
-const HEARD_EACH: f64 = 4.0;
-const KIND_ANSWERS: f64 = 1.0;
-const KIND_ASKED: f64 = 8.0;
-
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
 const SILENT: f64 = 4.0;
 /// Failed share, of what the fleet's leaves, that makes an upstream failing, and the failures needed.
@@ -75,8 +62,6 @@
 /// much less of it where a share of all dispatches fails.
 const LONE: (f64, f64, f64) = (0.45, 0.85, 1.5);
 
-/// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
-const FOLLOWS: (f64, f64) = (0.1, 0.002);
 /// In flight against what the shortest answer times would need, and what all may always have at an upstream.
 const STRETCH: f64 = 1.5;
 const LEAST_EACH: f64 = 2.0;
@@ -115,25 +100,21 @@
 
 /// Upstreams asked for each ticket; the part of the promised time that their answers are waited for, and when a
 /// ticket that found none in time asks again.
-const ASKED: usize = 4;
+const ASKED: usize = 5;
 /// What an upstream that told to hold nothing counts as holding: with one core, one that holds a ticket is far
 /// from it; where weights are listed most have several.
 const IDLE: (f64, f64) = (0.2, 0.5);
 const ASK_PART: Micros = 20;
 const ASK_AGAIN: Micros = 14;
 const ASKS_MOST: usize = 3;
-/// Answers that what is expected unheard counts as, and the part of the promised time that is expected then.
-const EACH: (f64, f64) = (3.0, 0.125);
 /// In place of a dispatch's number, for a ticket that asks.
 const ASKING: usize = usize::MAX;
 /// Part of its time that a ticket that earns nothing may take; one that earns most may take all.
 const WORTHLESS_PART: f64 = 0.3;
-/// How a dispatch ended, as the keeper of a book is told.
-const PASSED: u64 = 1;
-const FAILED: u64 = 2;
 /// How long a use case is kept from an upstream, its doublings, and the failed part from which it is.
 const SHUN: Micros = 4_000_000;
 const SHUN_DOUBLINGS: u32 = 2;
+const SHUN_HORIZON: f64 = 2.0 * RECENT;
 const SHUNNED: (f64, f64) = (0.56, 2.5);
 /// How long dropped connections are believed in, and the rest that a dropped one had at least.
 const DROPPED_BELIEVED: Micros = 15_000_000;
@@ -169,40 +150,6 @@
         self.host.wake((wait * (0.5 + self.chance.generate::<f64>() / 2.0)) as Micros, FOLLOW_ALARM);
     }
 
-    /// What a complete list does not name is gone.
-    pub fn list_begins(&mut self, complete: bool) {
-        self.upstreams.iter_mut().for_each(|upstream| upstream.ready &= !complete);
-    }
-
-    /// It drains or is gone: nothing more, at once.
-    pub fn list_drains(&mut self, id: &str) {
-        if let Some(&u) = self.by_id.get(id) {
-            self.upstreams[u].ready = false;
-        }
-    }
-
-    pub fn list_entry(&mut self, id: &str, zone: u64, kind: u64, cell: u64, weight: f64, launched: Micros) {
-        let blank = self.blank_place();
-        let at = *self.by_id.entry(Rc::from(id)).or_insert(blank);
-        if at == blank {
-            let hash = id.bytes().fold(0, |hash, byte| mixed(hash, u64::from(byte)));
-            let fares = vec![Fare::default(); self.terms.use_cases.len()];
-            self.upstreams[at] = Upstream { id: Rc::from(id), hash, fares, ..Upstream::default() };
-        }
-        let upstream = &mut self.upstreams[at];
-        (upstream.zone, upstream.kind, upstream.cell, upstream.ready) = (zone, kind, cell, true);
-        if launched > upstream.launched && at != blank {
-            // A new process has nothing to do with what was held against the old one.
-            upstream.answers = Mean::default();
-            upstream.failed = Fading::default();
-            (upstream.unanswered_since, upstream.suspected, upstream.full_until) = (None, false, 0);
-        }
-        upstream.launched = launched;
-        // Weights may be late readings, alike at all balancers: following each they would swing together.
-        upstream.weight.total.sum = upstream.weight.total.sum * 0.9 + weight;
-        upstream.weight.weight.sum = upstream.weight.weight.sum * 0.9 + 1.0;
-    }
-
     pub fn list_ends(&mut self, now: Micros) {
         self.failed_follows = 0;
         self.forget_left(now);
@@ -210,25 +157,8 @@
         self.pump(now);
     }
 
-    /// Balancers that see little keep to a few upstreams, from evenly spread starts on the common ring.
-    fn draw_order(&mut self) {
-        let mut ring: Vec<usize> = (0..self.upstreams.len()).filter(|&u| self.upstreams[u].ready).collect();
-        if ring.len() == self.order.len() && self.order.iter().all(|&u| self.upstreams[u].ready) {
-            return;
-        }
-        ring.sort_by_key(|&u| (self.upstreams[u].hash, u));
-        let (near, far): (Vec<_>, Vec<_>) =
-            ring.into_iter().partition(|&u| self.upstreams[u].zone == self.terms.zone);
-        let own = self.terms.own_number as f64 * RING_START;
-        let [mut near, mut far] = [near, far].map(|ring| scattered(ring, own).into_iter().peekable());
-        self.order.clear();
-        while near.peek().is_some() || far.peek().is_some() {
-            self.order.extend(near.by_ref().take(NEAR_FOR_ONE_FAR).chain(far.by_ref().take(1)));
-        }
-    }
-
     /// How many upstreams this balancer keeps to, and how many balancers keep to each.
-    fn circle(&self) -> (usize, f64) {
+    pub(crate) fn circle(&self) -> (usize, f64) {
         let (ready, balancers) = (self.order.len(), self.terms.balancers);
         let least = if self.asks() { CIRCLE_ASKED } else { CIRCLE_LEAST };
         let kept = (CIRCLE_SHARERS * ready).div_ceil(balancers).max(least).min(ready);
@@ -284,7 +214,7 @@
 
     /// Whether what upstreams hold is asked for before a ticket is placed: of themselves or of who keeps their
     /// book. A balancer with a ticket or two a second can't know it from its own.
-    fn asks(&self) -> bool {
+    pub(crate) fn asks(&self) -> bool {
         self.terms.loads_probed || (self.terms.loads_untold && self.terms.peers)
     }
 
@@ -318,7 +248,7 @@
                 ticket.waits.retain(|waits| *waits != u);
                 ticket.answered.push(u);
             } else {
-                self.host.tell(Some(keeper), &format!("? {:x}", self.upstreams[u].short()));
+                self.host.tell(Some(keeper), &Word::Asks(self.upstreams[u].short()).text());
             }
         }
         if ticket.waits.is_empty() {
@@ -381,87 +311,59 @@
         each * held * (1.0 + scatter) <= part * (spare - each * ticket.work * (1.0 + scatter))
     }
 
-    /// Answer time for each ticket that an upstream holds, as is usual for its capacity. Few or old answers count
-    /// little: one long ticket would else look as if none could be in time, and nothing more would be learned.
-    fn each(&self, now: Micros, u: usize) -> f64 {
-        let promised = self.terms.use_cases.iter().map(|c| c.promised_time).min().unwrap_or(0) as f64;
-        let [sum, count] =
-            [&self.seen.each.total, &self.seen.each.weight].map(|part| part.read(now, LASTING));
-        let usual = (sum / self.capacity(u) + EACH.0 * EACH.1 * promised) / (count + EACH.0);
-        usual / self.grown(now, u)
-    }
-
-    fn capacity(&self, u: usize) -> f64 {
-        let listed = self.upstreams[u].weight.read().filter(|w| self.terms.weights_listed && *w > 0.0);
-        listed.unwrap_or(1.0)
-    }
-
-    /// Which balancer keeps the book of an upstream: all know without a word.
-    fn keeper(&self, u: usize) -> usize {
-        (mixed(self.upstreams[u].hash, 0) % self.terms.balancers as u64) as usize
-    }
-
-    /// What another balancer tells: `+` it sent to an upstream, `-` how that ended, `?` asks for the load in the
-    /// book kept here, `=` answers that, `!` an upstream fails a use case, `~` idle connections are dropped.
-    /// All of it is hearsay that fades; what can't be read is passed over.
+    /// What another balancer tells. All of it is hearsay that fades; what can't be read is passed over.
     pub fn told(&mut self, now: Micros, from: usize, words: &str) {
-        let mut words = words.split(' ');
-        let what = words.next().unwrap_or_default();
-        let mut number = || words.next().and_then(|word| u64::from_str_radix(word, 16).ok());
-        let (Some(short), a, b) = (number(), number(), number()) else { return };
-        if what == "~" {
-            return self.believe_dropped(now, short);
-        }
-        let Some(u) = self.upstreams.iter().position(|up| up.short() == short && !up.id.is_empty()) else {
-            return;
-        };
-        match (what, a, b) {
-            ("+", ..) => self.upstreams[u].note(from, now),
-            ("-", Some(use_case), Some(how)) => self.noted(now, from, u, use_case as usize, how),
-            ("?", ..) => {
-                let held = self.upstreams[u].read_book(now);
-                self.host.tell(Some(from), &format!("= {short:x} {held:x}"));
+        let named = |short| self.upstreams.iter().position(|up| up.short() == short && !up.id.is_empty());
+        match Word::read(words) {
+            Some(Word::Dropped(rested)) => self.believe_dropped(now, rested),
+            Some(Word::Sent(short)) => _ = named(short).map(|u| self.upstreams[u].note(from, now)),
+            Some(Word::Ended(short, use_case, fate)) => {
+                _ = named(short).map(|u| self.noted(now, from, u, use_case, fate))
             }
-            ("=", Some(held), _) => {
-                let upstream = &mut self.upstreams[u];
-                (upstream.held, upstream.reported) = (Some(held.min(1 << 16) as f64), now);
+            Some(Word::Asks(short)) => {
+                let held = named(short).map(|u| self.upstreams[u].read_book(now));
+                _ = held.map(|held| self.host.tell(Some(from), &Word::Holds(short, held as u64).text()));
+            }
+            Some(Word::Holds(short, held)) => {
+                let Some(u) = named(short) else { return };
+                (self.upstreams[u].held, self.upstreams[u].reported) = (Some(held as f64), now);
                 self.heard(now, u, true);
             }
-            ("!", Some(use_case), Some(span)) => self.shun(now, u, use_case as usize, span),
-            _ => {}
+            Some(Word::Fails(short, use_case, span)) => {
+                _ = named(short).map(|u| self.shun(now, u, use_case, span))
+            }
+            None => {}
         }
     }
 
     /// Tells who keeps an upstream's book what was sent there or how it ended.
-    fn tell_keeper(&mut self, now: Micros, u: usize, ended: Option<(usize, u64)>) {
+    fn tell_keeper(&mut self, now: Micros, u: usize, ended: Option<(usize, Fate)>) {
         let (keeper, own, short) = (self.keeper(u), self.terms.own_number, self.upstreams[u].short());
         match ended {
             _ if !self.terms.peers => {}
             None if self.terms.loads_probed => {}
             None if keeper == own => self.upstreams[u].note(own, now),
-            None => self.host.tell(Some(keeper), &format!("+ {short:x}")),
-            Some((use_case, how)) if keeper == own => self.noted(now, own, u, use_case, how),
-            Some((use_case, how)) => {
-                self.host.tell(Some(keeper), &format!("- {short:x} {use_case:x} {how:x}"))
+            None => self.host.tell(Some(keeper), &Word::Sent(short).text()),
+            Some((use_case, fate)) if keeper == own => self.noted(now, own, u, use_case, fate),
+            Some((use_case, fate)) => {
+                self.host.tell(Some(keeper), &Word::Ended(short, use_case, fate).text())
             }
         }
     }
 
     /// A dispatch ended at an upstream whose book is kept here. Where a use case fails there, all hear of it.
-    fn noted(&mut self, now: Micros, from: usize, u: usize, use_case: usize, how: u64) {
+    fn noted(&mut self, now: Micros, from: usize, u: usize, use_case: usize, fate: Fate) {
         let upstream = &mut self.upstreams[u];
         if let Some(at) = upstream.book.iter().position(|entry| entry.0 == from) {
             upstream.book.remove(at);
         }
         let Some(fare) = upstream.fares.get_mut(use_case) else { return };
-        if how == PASSED {
-            return fare.succeeded.add(now, 2.0 * RECENT, 1.0);
-        } else if how != FAILED {
-            return;
+        match fate {
+            Fate::Passed => return fare.succeeded.add(now, SHUN_HORIZON, 1.0),
+            Fate::Neither => return,
+            Fate::Failed => fare.failed.add(now, SHUN_HORIZON, 1.0),
         }
-        fare.failed.add(now, 2.0 * RECENT, 1.0);
-        let (failed, succeeded) =
-            (fare.failed.read(now, 2.0 * RECENT), fare.succeeded.read(now, 2.0 * RECENT));
+        let [failed, succeeded] = [&fare.failed, &fare.succeeded].map(|sum| sum.read(now, SHUN_HORIZON));
         let again = now < fare.shunned_until + 2 * SHUN;
         if failed < (if again { SHUNNED.1 / 2.0 } else { SHUNNED.1 })
             || failed < SHUNNED.0 * (failed + succeeded)
@@ -472,7 +374,7 @@
         fare.times = if again { (fare.times + 1).min(SHUN_DOUBLINGS) } else { 0 };
         let span = SHUN << fare.times;
         let short = upstream.short();
-        self.host.tell(None, &format!("! {short:x} {use_case:x} {span:x}"));
+        self.host.tell(None, &Word::Fails(short, use_case, span).text());
         self.shun(now, u, use_case, span);
     }
 
@@ -522,21 +424,8 @@
             relative(&each.collect::<Vec<_>>(), WIDEST)
         };
         let (heard, (_, sharers)) = (self.heard_within(now), self.circle());
-        // What is usual for each machine type is looked up once, not for each candidate.
-        let mut usual: Vec<(u64, Option<f64>)> = Vec::new();
-        for &u in ready {
-            let kind = ups[u].kind;
-            if usual.iter().all(|known| known.0 != kind) {
-                let of_kind = self.kinds.get(&kind).and_then(Mean::read);
-                usual.push((kind, of_kind.or(self.seen.answers.read())));
-            }
-        }
-        let prior = if self.asks() { KIND_ASKED } else { KIND_ANSWERS };
-        // Few answers tell little: they pull what is usual for the machine type their way by their number.
-        let shrunk = |up: &Upstream, own: Option<f64>, count: f64| {
-            let usual = usual.iter().find(|known| known.0 == up.kind).and_then(|known| known.1).or(own)?;
-            Some((count * own.unwrap_or(usual) + prior * usual) / (count + prior))
-        };
+        let usual = self.usual_by_kind(ready);
+        let shrunk = |up: &Upstream, own, count| self.shrunk(&usual, up.kind, own, count);
         let latency = gather(&|_, up| shrunk(up, up.latency(now), up.answers.weight.read(now, heard)));
         let capacity = gather(&|_, up| match self.terms.weights_listed {
             true => up.weight.read(),
@@ -738,11 +627,6 @@
         self.terms.use_cases[ticket.use_case].effect != Effect::Irreversible
     }
 
-    fn is_cold(&self, now: Micros, u: usize) -> bool {
-        let launched = self.upstreams[u].launched;
-        launched > 0 && now < launched + self.terms.warming.warm_after
-    }
-
     /// The span of an upstream's life that the present belongs to, what was sent in it and what may be while
     /// it is cold. Its capacity is not told; it is taken to be what this balancer's warm upstreams bear, or a
     /// part of what arrives where none is warm. Where that is less than a ticket, own chance, drawn for each
@@ -766,15 +650,6 @@
         (span, if spent_in == span { spent } else { 0.0 }, (budget + chance).floor())
     }
 
-    /// How far a cold upstream has grown at least; 1 where it is warm.
-    fn grown(&self, now: Micros, u: usize) -> f64 {
-        if !self.is_cold(now, u) {
-            return 1.0;
-        }
-        let (warming, age) = (&self.terms.warming, now.saturating_sub(self.upstreams[u].launched));
-        warming.starts_at + (1.0 - warming.starts_at) * age as f64 / warming.warm_after as f64
-    }
-
     /// Whether a cold upstream that just told what it holds, of all balancers, holds little against its budget.
     fn cold_room(&self, now: Micros, u: usize) -> bool {
         let (upstream, warming) = (&self.upstreams[u], &self.terms.warming);
@@ -899,22 +774,6 @@
         self.pump(now);
     }
 
-    /// The horizon of what is heard of one upstream: some answers from each, or chance would pass for load.
-    fn heard_within(&self, now: Micros) -> f64 {
-        let rate = self.seen.arrivals.read(now, LASTING) / self.lived(now);
-        (HEARD_EACH * self.circle().0 as f64 / rate.max(1e-9)).clamp(RECENT, LASTING)
-    }
-
-    /// The span that sums over `LASTING` stand for.
-    fn lived(&self, now: Micros) -> f64 {
-        (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING)
-    }
-
-    /// The span that sums over `RECENT` stand for: taken as filled, queues would look endless at first.
-    fn watched(&self, now: Micros) -> f64 {
-        RECENT.min(now.saturating_sub(self.started) as f64).max(RECENT / 4.0)
-    }
-
     /// What an upstream may hold of ours: what its served rate needs × shortest ÷ present answer time.
     fn limit(&self, now: Micros, u: usize) -> f64 {
         let upstream = &self.upstreams[u];
@@ -1022,58 +881,32 @@
         within
     }
 
-    /// The load that an upstream reports: late.
-    pub fn load_reported(
-        &mut self,
-        now: Micros,
-        id: &str,
-        busy: Option<f64>,
-        queue: Option<f64>,
-        held: Option<f64>,
-    ) {
-        if let Some(&u) = self.by_id.get(id) {
-            let upstream = &mut self.upstreams[u];
-            upstream.utilisation = busy.filter(|busy| *busy >= 0.0);
-            upstream.held = held.filter(|held| *held >= 0.0);
-            upstream.queue = queue.filter(|queue| *queue >= 0.0).or(upstream.held);
-            upstream.reported = now;
-        }
-    }
-
-    /// Answer time expected at present for a usual ticket of the use case.
-    fn expected(&self, use_case: usize) -> f64 {
-        let promised = self.terms.use_cases[use_case].promised_time as f64;
-        self.paces[use_case].present.read().unwrap_or(promised / 4.0)
-    }
-
     /// Takes in how a dispatch ended.
     fn ended(&mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros) {
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else { return };
         let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
-        let capacity = self.capacity(dispatch.upstream);
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
         let upstream = &mut self.upstreams[dispatch.upstream];
         upstream.end(dispatch, ticket.work);
         upstream.used = Some(now);
-        let (u, rested, before) = (dispatch.upstream, dispatch.rested, dispatch.before);
+        let (u, rested) = (dispatch.upstream, dispatch.rested);
         // Called off as overdue to make way for another dispatch, it was silent.
         let replaced = ending == Ending::CalledOff && dispatch.overdue && !self.terms.second_copies;
         let ending = if replaced { Ending::Silent } else { ending };
-        let how = match ending {
-            Ending::Succeeded => PASSED,
-            Ending::CalledOff | Ending::NeverSent | Ending::TurnedAway => 0,
-            _ => FAILED,
+        let fate = match ending {
+            Ending::Succeeded => Fate::Passed,
+            Ending::CalledOff | Ending::NeverSent | Ending::TurnedAway => Fate::Neither,
+            _ => Fate::Failed,
         };
-        self.tell_keeper(now, u, Some((ticket.use_case, how)));
-        if let (Ending::Broken, Some(rested)) = (ending, rested.filter(|rested| *rested >= RESTED_LEAST)) {
-            let known = now < self.dropped.1 && rested >= self.dropped.0;
-            if took < self.terms.use_cases[ticket.use_case].promised_time / DROPPED_WITHIN && !known {
-                let rested = rested / 2;
-                self.believe_dropped(now, rested);
-                if self.terms.peers {
-                    self.host.tell(None, &format!("~ {rested:x}"));
-                }
+        self.tell_keeper(now, u, Some((ticket.use_case, fate)));
+        let at_once = took < self.terms.use_cases[ticket.use_case].promised_time / DROPPED_WITHIN;
+        let known = |rested| now < self.dropped.1 && rested >= self.dropped.0;
+        let rested = rested.filter(|rested| *rested >= RESTED_LEAST && !known(*rested) && at_once);
+        if let (Ending::Broken, Some(rested)) = (ending, rested) {
+            self.believe_dropped(now, rested / 2);
+            if self.terms.peers {
+                self.host.tell(None, &Word::Dropped(rested / 2).text());
             }
         }
         let upstream = &mut self.upstreams[u];
@@ -1110,23 +943,7 @@
             if number > 0 {
                 self.seen.further_succeeded.add(now, LASTING, 1.0);
             }
-            upstream.succeeded.add(now, heard, 1.0);
-            self.seen.succeeded.add(now, RECENT, 1.0);
-            if let Some(held) = before {
-                let each = took * ticket.work * capacity / (held + ticket.work);
-                self.seen.each.add(now, LASTING, each, 1.0);
-            }
-            pace.present.add(now, RECENT, took, ticket.work);
-            pace.lasting.add(now, LASTING, took, ticket.work);
-            pace.squares.add(now, LASTING, took * took, ticket.work);
-            self.seen.answers.add(now, LASTING, took, ticket.work);
-            if !cold {
-                self.seen.served.add(now, LASTING, ticket.work);
-            }
-            self.kinds.entry(upstream.kind).or_default().add(now, LASTING, answer, ticket.work);
-            follow_shortest(&mut pace.shortest, pace.lasting.read().unwrap_or(took));
-            follow_shortest(&mut upstream.shortest, upstream.lasting_answers.read().unwrap_or(answer));
-            upstream.kept.add(now, RECENT, took * ticket.work);
+            self.learn(now, ticket, number, took, answer, cold);
             payoff = (all / answer).min(WIDEST);
         } else {
             if ending.proves_not_run() {
@@ -1137,9 +954,10 @@
             // A fast failure must not make an upstream look quick.
             answer = answer.max(FAILURE_LATENCY * all);
         }
+        let upstream = &mut self.upstreams[u];
         upstream.answers.add(now, heard, answer, ticket.work);
         upstream.lasting_answers.add(now, LASTING, answer, ticket.work);
-        if let Some(scene) = dispatch.scene.take() {
+        if let Some(scene) = ticket.dispatches[number].scene.take() {
             self.samples.push((scene, payoff));
         }
         if self.samples.len() >= OUTCOMES_AN_UPDATE || now > self.updated + UPDATE_EVERY {
@@ -1156,18 +974,7 @@
         }
         let Some(usual) = self.seen.payoffs.read() else { return };
         for _ in 0..EPOCHS {
-            let mut step = [0.0; FEATURES];
-            for (scene, payoff) in &samples {
-                let advantage = payoff - usual;
-                let Some((chance, slope)) = self.slope(scene) else { continue };
-                let ratio = chance / scene.chance;
-                if (ratio < 1.0 - CLIP && advantage < 0.0) || (ratio > 1.0 + CLIP && advantage > 0.0) {
-                    continue;
-                }
-                for f in 1..FEATURES {
-                    step[f] += advantage / scene.chance * slope[f];
-                }
-            }
+            let step = clipped_step(&self.weights, &samples, usual, CLIP, top);
             for f in 1..FEATURES {
                 let step = STEP * step[f] / OUTCOMES_AN_UPDATE as f64;
                 let moved = self.weights[f] + step + ANCHOR * (START[f] - self.weights[f]);
@@ -1176,42 +983,6 @@
             }
         }
     }
-
-    /// The drawn candidate's chance under the present weights and its gradient, through softplus,
-    /// normalisation and projection; nothing where it is no longer among the top.
-    fn slope(&self, scene: &Scene) -> Option<(f64, [f64; FEATURES])> {
-        let raw: Vec<f64> = scene.rows.iter().map(|row| dot(&self.weights, row)).collect();
-        let m = top(raw.len());
-        // Of the rest is what lies below the last of the top, so that ties with it count as top.
-        let mut sorted = raw.clone();
-        let falling = |a: &f64, b: &f64| b.total_cmp(a);
-        let last = m.checked_sub(1).map(|last| *sorted.select_nth_unstable_by(last, falling).1);
-        let in_rest = |place: usize| last.is_none_or(|last| raw[place] < last);
-        if in_rest(scene.drawn) {
-            return None;
-        }
-        let (mut sum, mut rest_sum) = (0.0, 0.0);
-        let (mut sum_slope, mut own_slope) = ([0.0; FEATURES], [0.0; FEATURES]);
-        for (place, row) in scene.rows.iter().enumerate() {
-            let (o, bend) = (softplus(raw[place]), 1.0 / (1.0 + (-raw[place]).exp()));
-            let spread = if in_rest(place) { 1.0 / m as f64 } else { 0.0 };
-            let own = if place == scene.drawn { 1.0 } else { spread };
-            sum += o;
-            rest_sum += own * o;
-            for f in 0..FEATURES {
-                sum_slope[f] += bend * row[f];
-                own_slope[f] += own * bend * row[f];
-            }
-        }
-        let chance = rest_sum / sum;
-        let slope = std::array::from_fn(|f| (own_slope[f] - chance * sum_slope[f]) / sum);
-        Some((chance, slope))
-    }
-}
-
-fn follow_shortest(shortest: &mut Option<f64>, mean: f64) {
-    let shortest = shortest.get_or_insert(mean);
-    *shortest += if mean < *shortest { FOLLOWS.0 } else { FOLLOWS.1 } * (mean - *shortest);
 }
 
 /// How many of the candidates may be drawn: all but the worst quarter, as the candidates themselves are few.
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 
 use super::*;
+use crate::arithmetic::slope;
 use crate::{UseCase, Warming};
 
 const MS: Micros = 1_000;
@@ -135,11 +136,11 @@
     let rows: Vec<_> = (0..3).map(|i| std::array::from_fn(|f| 1.0 / (1 + f + 2 * i) as f64)).collect();
     balancer.weights = std::array::from_fn(|f| 1.0 + f as f64 / 10.0);
     let scene = Scene { rows, drawn, chance: 0.5 };
-    let (chance, slope) = balancer.slope(&scene).unwrap();
-    for (f, slope) in slope.iter().enumerate() {
+    let (chance, slope_of) = slope(&balancer.weights, &scene, top(3)).unwrap();
+    for (f, along) in slope_of.iter().enumerate() {
         balancer.weights[f] += 1e-6;
-        let (moved, _) = balancer.slope(&scene).unwrap();
-        assert!(((moved - chance) / 1e-6 - slope).abs() < 1e-5);
+        let (moved, _) = slope(&balancer.weights, &scene, top(3)).unwrap();
+        assert!(((moved - chance) / 1e-6 - along).abs() < 1e-5);
         balancer.weights[f] -= 1e-6;
     }
 }
@@ -550,7 +551,7 @@
     assert_eq!(ready, expected);
     // It may be held as long as the quick one still has the time for it.
     let needed = if work > LONG.0 { LONG.1 * 50.0 * work } else { TIME_LEFT * 100.0 };
-    assert_eq!(balancer.last_start(&ticket), ticket.promised - needed as Micros * MS);
+    assert_eq!(balancer.last_start(START_AT, &ticket), ticket.promised - needed as Micros * MS);
 }
 
 /// With many candidates what is kept of dispatches would grow with their square over a fleet.
@@ -646,7 +647,7 @@
 fn a_use_case_is_kept_from_where_it_fails(#[case] of: u64, #[case] fail: u64, #[case] told: bool) {
     let (mut balancer, diary) = asking(Effect::Redoable, false);
     for n in 0..24 {
-        let how = if n % of < fail { FAILED } else { PASSED };
+        let how = if n % of < fail { Fate::Failed } else { Fate::Passed };
         balancer.noted(START_AT + n * 100 * MS, 5, 1, 0, how);
     }
     assert_eq!(diary.count("tell all !") > 0, told);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 mod decide;
 mod fading;
 mod known;
+mod measures;
+mod words;
 
 pub use known::Balancer;
 
--- /dev/null
+++ b/src/measures.rs
@@ -0,0 +1,220 @@
+//! What follows from what a balancer was told and has seen: the list as it stands, loads, and estimates. Sums and
+//! means; what is done with them is decided in `decide.rs`.
+
+use std::rc::Rc;
+
+use crate::arithmetic::{mixed, scattered};
+use crate::fading::{Fading, Mean};
+use crate::known::{Balancer, Fare, Ticket, Upstream};
+use crate::{Host, Micros};
+
+pub(crate) const SECOND: f64 = 1e6;
+/// Horizons of the present and of what describes a machine.
+pub(crate) const RECENT: f64 = 2.0 * SECOND;
+pub(crate) const LASTING: f64 = 15.0 * SECOND;
+/// Answers that tell of an upstream's present state.
+pub(crate) const HEARD_EACH: f64 = 4.0;
+/// Answers that what is expected unheard counts as, and the part of the promised time that is expected then.
+pub(crate) const EACH: (f64, f64) = (3.0, 0.125);
+/// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
+const FOLLOWS: (f64, f64) = (0.1, 0.002);
+
+/// Answers that what is usual for the machine type counts as, and where loads are asked for: own ones tell little.
+const KIND_ANSWERS: f64 = 1.0;
+const KIND_ASKED: f64 = 8.0;
+/// Near upstreams of the own order for each far one.
+const NEAR_FOR_ONE_FAR: usize = 2;
+/// Irrational part of a ring between neighbours' starts: they spread evenly whatever the numbers.
+const RING_START: f64 = 0.618_033_988_749_895;
+
+impl<H: Host> Balancer<H> {
+    /// Balancers that see little keep to a few upstreams, from evenly spread starts on the common ring.
+    pub(crate) fn draw_order(&mut self) {
+        let mut ring: Vec<usize> = (0..self.upstreams.len()).filter(|&u| self.upstreams[u].ready).collect();
+        if ring.len() == self.order.len() && self.order.iter().all(|&u| self.upstreams[u].ready) {
+            return;
+        }
+        ring.sort_by_key(|&u| (self.upstreams[u].hash, u));
+        let (near, far): (Vec<_>, Vec<_>) =
+            ring.into_iter().partition(|&u| self.upstreams[u].zone == self.terms.zone);
+        let own = self.terms.own_number as f64 * RING_START;
+        let [mut near, mut far] = [near, far].map(|ring| scattered(ring, own).into_iter().peekable());
+        self.order.clear();
+        while near.peek().is_some() || far.peek().is_some() {
+            self.order.extend(near.by_ref().take(NEAR_FOR_ONE_FAR).chain(far.by_ref().take(1)));
+        }
+    }
+
+    /// What is usual for each machine type, looked up once and not for each candidate.
+    pub(crate) fn usual_by_kind(&self, ready: &[usize]) -> Vec<(u64, Option<f64>)> {
+        let mut usual: Vec<(u64, Option<f64>)> = Vec::new();
+        for &u in ready {
+            let kind = self.upstreams[u].kind;
+            if usual.iter().all(|known| known.0 != kind) {
+                let of_kind = self.kinds.get(&kind).and_then(Mean::read);
+                usual.push((kind, of_kind.or(self.seen.answers.read())));
+            }
+        }
+        usual
+    }
+
+    /// Few answers tell little: they pull what is usual for the machine type their way by their number.
+    pub(crate) fn shrunk(
+        &self,
+        usual: &[(u64, Option<f64>)],
+        kind: u64,
+        own: Option<f64>,
+        count: f64,
+    ) -> Option<f64> {
+        let prior = if self.asks() { KIND_ASKED } else { KIND_ANSWERS };
+        let usual = usual.iter().find(|known| known.0 == kind).and_then(|known| known.1).or(own)?;
+        Some((count * own.unwrap_or(usual) + prior * usual) / (count + prior))
+    }
+
+    /// What a complete list does not name is gone.
+    pub fn list_begins(&mut self, complete: bool) {
+        self.upstreams.iter_mut().for_each(|upstream| upstream.ready &= !complete);
+    }
+
+    /// It drains or is gone: nothing more, at once.
+    pub fn list_drains(&mut self, id: &str) {
+        if let Some(&u) = self.by_id.get(id) {
+            self.upstreams[u].ready = false;
+        }
+    }
+
+    pub fn list_entry(&mut self, id: &str, zone: u64, kind: u64, cell: u64, weight: f64, launched: Micros) {
+        let blank = self.blank_place();
+        let at = *self.by_id.entry(Rc::from(id)).or_insert(blank);
+        if at == blank {
+            let hash = id.bytes().fold(0, |hash, byte| mixed(hash, u64::from(byte)));
+            let fares = vec![Fare::default(); self.terms.use_cases.len()];
+            self.upstreams[at] = Upstream { id: Rc::from(id), hash, fares, ..Upstream::default() };
+        }
+        let upstream = &mut self.upstreams[at];
+        (upstream.zone, upstream.kind, upstream.cell, upstream.ready) = (zone, kind, cell, true);
+        if launched > upstream.launched && at != blank {
+            // A new process has nothing to do with what was held against the old one.
+            upstream.answers = Mean::default();
+            upstream.failed = Fading::default();
+            (upstream.unanswered_since, upstream.suspected, upstream.full_until) = (None, false, 0);
+        }
+        upstream.launched = launched;
+        // Weights may be late readings, alike at all balancers: following each they would swing together.
+        upstream.weight.total.sum = upstream.weight.total.sum * 0.9 + weight;
+        upstream.weight.weight.sum = upstream.weight.weight.sum * 0.9 + 1.0;
+    }
+
+    /// The load that an upstream reports: late.
+    pub fn load_reported(
+        &mut self,
+        now: Micros,
+        id: &str,
+        busy: Option<f64>,
+        queue: Option<f64>,
+        held: Option<f64>,
+    ) {
+        if let Some(&u) = self.by_id.get(id) {
+            let upstream = &mut self.upstreams[u];
+            upstream.utilisation = busy.filter(|busy| *busy >= 0.0);
+            upstream.held = held.filter(|held| *held >= 0.0);
+            upstream.queue = queue.filter(|queue| *queue >= 0.0).or(upstream.held);
+            upstream.reported = now;
+        }
+    }
+
+    /// Answer time for each ticket that an upstream holds, as is usual for its capacity. Few or old answers count
+    /// little: one long ticket would else look as if none could be in time, and nothing more would be learned.
+    pub(crate) fn each(&self, now: Micros, u: usize) -> f64 {
+        let promised = self.terms.use_cases.iter().map(|c| c.promised_time).min().unwrap_or(0) as f64;
+        let [sum, count] =
+            [&self.seen.each.total, &self.seen.each.weight].map(|part| part.read(now, LASTING));
+        let usual = (sum / self.capacity(u) + EACH.0 * EACH.1 * promised) / (count + EACH.0);
+        usual / self.grown(now, u)
+    }
+
+    pub(crate) fn capacity(&self, u: usize) -> f64 {
+        let listed = self.upstreams[u].weight.read().filter(|w| self.terms.weights_listed && *w > 0.0);
+        listed.unwrap_or(1.0)
+    }
+
+    /// Which balancer keeps the book of an upstream: all know without a word.
+    pub(crate) fn keeper(&self, u: usize) -> usize {
+        (mixed(self.upstreams[u].hash, 0) % self.terms.balancers as u64) as usize
+    }
+
+    pub(crate) fn is_cold(&self, now: Micros, u: usize) -> bool {
+        let launched = self.upstreams[u].launched;
+        launched > 0 && now < launched + self.terms.warming.warm_after
+    }
+
+    /// How far a cold upstream has grown at least; 1 where it is warm.
+    pub(crate) fn grown(&self, now: Micros, u: usize) -> f64 {
+        if !self.is_cold(now, u) {
+            return 1.0;
+        }
+        let (warming, age) = (&self.terms.warming, now.saturating_sub(self.upstreams[u].launched));
+        warming.starts_at + (1.0 - warming.starts_at) * age as f64 / warming.warm_after as f64
+    }
+
+    /// The horizon of what is heard of one upstream: some answers from each, or chance would pass for load.
+    pub(crate) fn heard_within(&self, now: Micros) -> f64 {
+        let rate = self.seen.arrivals.read(now, LASTING) / self.lived(now);
+        (HEARD_EACH * self.circle().0 as f64 / rate.max(1e-9)).clamp(RECENT, LASTING)
+    }
+
+    /// The span that sums over `LASTING` stand for.
+    pub(crate) fn lived(&self, now: Micros) -> f64 {
+        (now.saturating_sub(self.started) as f64).clamp(RECENT, LASTING)
+    }
+
+    /// The span that sums over `RECENT` stand for: taken as filled, queues would look endless at first.
+    pub(crate) fn watched(&self, now: Micros) -> f64 {
+        RECENT.min(now.saturating_sub(self.started) as f64).max(RECENT / 4.0)
+    }
+
+    /// Answer time expected at present for a usual ticket of the use case.
+    pub(crate) fn expected(&self, use_case: usize) -> f64 {
+        let promised = self.terms.use_cases[use_case].promised_time as f64;
+        self.paces[use_case].present.read().unwrap_or(promised / 4.0)
+    }
+
+    /// Takes in what a success tells of the upstream, its machine type and the use case.
+    pub(crate) fn learn(
+        &mut self,
+        now: Micros,
+        ticket: &Ticket,
+        number: usize,
+        took: f64,
+        answer: f64,
+        cold: bool,
+    ) {
+        let Some(dispatch) = ticket.dispatches.get(number) else { return };
+        let (heard, capacity) = (self.heard_within(now), self.capacity(dispatch.upstream));
+        let before = dispatch.before;
+        let (upstream, pace) = (&mut self.upstreams[dispatch.upstream], &mut self.paces[ticket.use_case]);
+        let (seen, kinds) = (&mut self.seen, &mut self.kinds);
+        upstream.succeeded.add(now, heard, 1.0);
+        seen.succeeded.add(now, RECENT, 1.0);
+        if let Some(held) = before {
+            let each = took * ticket.work * capacity / (held + ticket.work);
+            seen.each.add(now, LASTING, each, 1.0);
+        }
+        pace.present.add(now, RECENT, took, ticket.work);
+        pace.lasting.add(now, LASTING, took, ticket.work);
+        pace.squares.add(now, LASTING, took * took, ticket.work);
+        seen.answers.add(now, LASTING, took, ticket.work);
+        if !cold {
+            seen.served.add(now, LASTING, ticket.work);
+        }
+        kinds.entry(upstream.kind).or_default().add(now, LASTING, answer, ticket.work);
+        follow_shortest(&mut pace.shortest, pace.lasting.read().unwrap_or(took));
+        follow_shortest(&mut upstream.shortest, upstream.lasting_answers.read().unwrap_or(answer));
+        upstream.kept.add(now, RECENT, took * ticket.work);
+    }
+}
+
+fn follow_shortest(shortest: &mut Option<f64>, mean: f64) {
+    let shortest = shortest.get_or_insert(mean);
+    *shortest += if mean < *shortest { FOLLOWS.0 } else { FOLLOWS.1 } * (mean - *shortest);
+}
--- /dev/null
+++ b/src/words.rs
@@ -0,0 +1,89 @@
+//! What balancers tell one another, in short lines of text. Upstreams go by the first bits of their hash, which is
+//! alike at all. Words may be lost, late or spoilt: what can't be read is none.
+
+use crate::Micros;
+
+/// How a dispatch ended, as far as its upstream's fame goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    Neither,
+    Passed,
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Word {
+    /// A dispatch went to the upstream.
+    Sent(u64),
+    /// One of the use case ended there.
+    Ended(u64, usize, Fate),
+    /// What does the upstream hold by your book?
+    Asks(u64),
+    /// So many.
+    Holds(u64, u64),
+    /// The upstream fails the use case: for so long it should get none.
+    Fails(u64, usize, Micros),
+    /// Connections that rested so long are dropped unseen.
+    Dropped(Micros),
+}
+
+impl Word {
+    pub(crate) fn read(text: &str) -> Option<Self> {
+        let mut parts = text.split(' ');
+        let what = parts.next()?;
+        let mut number = || parts.next().and_then(|part| u64::from_str_radix(part, 16).ok());
+        Some(match (what, number()?, number(), number()) {
+            ("+", upstream, ..) => Self::Sent(upstream),
+            ("-", upstream, Some(use_case), Some(how)) => {
+                let fate = match how {
+                    1 => Fate::Passed,
+                    2 => Fate::Failed,
+                    _ => Fate::Neither,
+                };
+                Self::Ended(upstream, usize::try_from(use_case).ok()?, fate)
+            }
+            ("?", upstream, ..) => Self::Asks(upstream),
+            ("=", upstream, Some(held), _) => Self::Holds(upstream, held),
+            ("!", upstream, Some(use_case), Some(span)) => {
+                Self::Fails(upstream, usize::try_from(use_case).ok()?, span)
+            }
+            ("~", rested, ..) => Self::Dropped(rested),
+            _ => return None,
+        })
+    }
+
+    pub(crate) fn text(self) -> String {
+        match self {
+            Self::Sent(upstream) => format!("+ {upstream:x}"),
+            Self::Ended(upstream, use_case, fate) => format!("- {upstream:x} {use_case:x} {}", fate as u8),
+            Self::Asks(upstream) => format!("? {upstream:x}"),
+            Self::Holds(upstream, held) => format!("= {upstream:x} {held:x}"),
+            Self::Fails(upstream, use_case, span) => format!("! {upstream:x} {use_case:x} {span:x}"),
+            Self::Dropped(rested) => format!("~ {rested:x}"),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    proptest! {
+        #[test]
+        fn words_come_back_as_they_were_told(upstream in any::<u64>(), a in any::<u64>(), use_case in 0usize..9) {
+            let fate = [Fate::Neither, Fate::Passed, Fate::Failed][use_case % 3];
+            for word in [Word::Sent(upstream), Word::Ended(upstream, use_case, fate), Word::Asks(upstream),
+                Word::Holds(upstream, a), Word::Fails(upstream, use_case, a), Word::Dropped(a)] {
+                prop_assert_eq!(Word::read(&word.text()), Some(word));
+                prop_assert!(word.text().len() <= 256);
+            }
+        }
+
+        #[test]
+        fn any_text_is_a_word_or_none(text in ".{0,40}") {
+            _ = Word::read(&text);
+        }
+    }
+}
