--- a/node/src/life/place.rs
+++ b/node/src/life/place.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use pinefront::{Effect, Micros, Terms};
+use pinefront::{Effect, Micros, Terms, UseCase};
 use pinefront_terms::fields::{Decoded, list, optional, part, text, whole};
 use pinefront_terms::terms;
 use serde_json::Value;
@@ -38,8 +38,11 @@
     pub crowd: usize,
     /// Bytes of clients' messages that may be kept, where a limit on memory is told.
     pub messages_most: usize,
+    /// Names by the module's numbers; blank for one that clients can't ask for any more.
     pub use_cases: Vec<String>,
     pub effects: Vec<Effect>,
+    /// Names of all that there have been since the start.
+    pub known_use_cases: Vec<String>,
     pub accounts: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
@@ -50,6 +53,11 @@
     pub ask_within: Option<Micros>,
     /// Answers hold load reports.
     pub loads_told: bool,
+    /// Where an upstream tells its load when probed.
+    pub probe_path: Option<String>,
+    /// Where the balancers hear each other, by their numbers; none where they don't.
+    pub peers: Vec<SocketAddr>,
+    pub own_number: usize,
 }
 
 /// What `BALANCER_*` variables say, by the rest of their names.
@@ -69,6 +77,43 @@
         numbered(&mut self.kinds, name)
     }
 
+    /// Takes new settings in a running program: what was told once keeps its number. Use cases that are the same as
+    /// before are found again, so that going back and forth adds none. Tells the module's new terms.
+    pub fn renew(&mut self, mut new: Self, mut terms: Terms, old: &Terms) -> Decoded<Terms> {
+        if new.ask_within.is_some() != self.ask_within.is_some() {
+            return Err("in 'settings': field 'registryMode' can't change while serving".into());
+        }
+        let mut table: Vec<UseCase> = old.use_cases.clone();
+        table.iter_mut().for_each(|use_case| use_case.earnings = 0.0);
+        let mut names = self.known_use_cases.clone();
+        let mut open = vec![String::new(); names.len()];
+        for (name, use_case) in new.use_cases.iter().zip(terms.use_cases) {
+            let same = |n: &usize| names[*n] == *name && table[*n].effect == use_case.effect;
+            let at = (0..names.len()).find(same).unwrap_or(names.len());
+            if at == names.len() {
+                names.push(name.clone());
+                open.push(String::new());
+                table.push(use_case.clone());
+            }
+            (table[at], open[at]) = (use_case, name.clone());
+        }
+        if names.len() > NAMES_MOST {
+            return Err(format!(
+                "in 'settings': more than {NAMES_MOST} use cases since the start; restart instead"
+            ));
+        }
+        new.effects = table.iter().map(|use_case| use_case.effect).collect();
+        (terms.use_cases, new.use_cases, new.known_use_cases) = (table, open, names);
+        let own_zone = new.zones.get(terms.zone as usize).cloned();
+        (new.zones, new.kinds) = (std::mem::take(&mut self.zones), std::mem::take(&mut self.kinds));
+        if let Some(zone) = own_zone {
+            terms.zone = new.zone(&zone);
+        }
+        (new.name, new.listen, new.seed) = (std::mem::take(&mut self.name), self.listen, self.seed);
+        *self = new;
+        Ok(terms)
+    }
+
     pub fn decode(told: &Value, variables: &Variables, most_open: u64) -> Decoded<(Self, Terms)> {
         let settings = part(told, "settings")?;
         let terms = terms(settings).map_err(|problem| format!("in 'settings': {problem}"))?;
@@ -90,6 +135,10 @@
             let wrong = || format!("field '{name}' holds what is no text");
             list(settings, name)?.iter().map(|entry| word(entry).ok_or_else(wrong)).collect()
         };
+        let zones = words("dcs")?;
+        if terms.zone as usize >= zones.len() {
+            return Err(format!("in 'settings': field 'zone' is {} of {}", terms.zone, zones.len()));
+        }
         let place = Self {
             name: named(told, variables, "name")?,
             listen: address(told, variables, "listen")?,
@@ -101,23 +150,57 @@
             messages_most: memory
                 .map_or(usize::MAX, |mb| (mb.saturating_mul(MEBIBYTE) / MESSAGES_PART) as usize),
             use_cases: names(settings, "useCases")?,
+            known_use_cases: names(settings, "useCases")?,
             effects: terms.use_cases.iter().map(|use_case| use_case.effect).collect(),
             accounts: match optional(settings, "accounts", Value::as_array)? {
                 Some(_) => names(settings, "accounts")?,
                 None => Vec::new(),
             },
-            zones: words("dcs")?,
+            zones,
             kinds: words("kinds")?,
             idle: whole(caps, "connIdleUs")?,
             connect_timeout: whole(caps, "connectTimeoutUs")?,
             drain_grace: whole(part(settings, "rules")?, "drainGraceUs")?,
             ask_within: terms.ask_within,
             loads_told: text(part(settings, "report")?, "source")? == "inline",
+            probe_path: probe_path(told, &terms)?,
+            peers: peers(told, &terms)?,
+            own_number: terms.own_number,
         };
         Ok((place, terms))
     }
 }
 
+/// Where loads are told to probes only, the file has to say at which path.
+fn probe_path(told: &Value, terms: &Terms) -> Decoded<Option<String>> {
+    let path = optional(told, "probe_path", Value::as_str)?;
+    match path {
+        None if terms.loads_probed => {
+            Err("field 'probe_path' is missing, and loads are told to probes only".into())
+        }
+        Some(path) if !path.starts_with('/') || !path.bytes().all(|byte| byte.is_ascii_graphic()) => {
+            Err(format!("field 'probe_path' is '{path}', no path"))
+        }
+        path => Ok(path.map(str::to_owned)),
+    }
+}
+
+/// Where balancers may speak, the file has to name an address for each of them, its own included.
+fn peers(told: &Value, terms: &Terms) -> Decoded<Vec<SocketAddr>> {
+    let Some(named) = optional(told, "peers", Value::as_array)?.filter(|_| terms.peers) else {
+        return match terms.peers {
+            true => Err("field 'peers' is missing, and balancers may send messages".into()),
+            false => Ok(Vec::new()),
+        };
+    };
+    if named.len() != terms.balancers {
+        return Err(format!("field 'peers' names {} balancers of {}", named.len(), terms.balancers));
+    }
+    let address = |value: &Value| value.as_str().and_then(|address| address.parse().ok());
+    let wrong = |value| format!("field 'peers' holds {value}, no address and port");
+    named.iter().map(|value| address(value).ok_or_else(|| wrong(value))).collect()
+}
+
 fn numbered(names: &mut Vec<String>, name: &str) -> u64 {
     let at = names.iter().position(|known| known == name).unwrap_or_else(|| {
         if names.len() >= NAMES_MOST {
--- a/node/src/life/place/tests.rs
+++ b/node/src/life/place/tests.rs
@@ -2,7 +2,7 @@
 use serde_json::json;
 
 use super::*;
-use crate::stand::told;
+use crate::stand::{moved, told};
 
 fn decoded(told: &Value, variables: &Variables, most_open: u64) -> Result<Place, String> {
     Place::decode(told, variables, most_open).map(|(place, _)| place)
@@ -23,6 +23,32 @@
     assert_eq!(decoded(&told, &Variables::new(), 1024).err().as_deref(), Some(expected));
 }
 
+#[rstest]
+#[case("/probe_path", json!(null), "field 'probe_path' is missing, and loads are told to probes only")]
+#[case("/probe_path", json!("load"), "field 'probe_path' is 'load', no path")]
+#[case("/probe_path", json!("/a\r\nX: y"), "field 'probe_path' is '/a\r\nX: y', no path")]
+#[case("/peers", json!(null), "field 'peers' is missing, and balancers may send messages")]
+#[case("/peers", json!(["127.0.0.1:1"]), "field 'peers' names 1 balancers of 2")]
+#[case("/peers", json!(["127.0.0.1:1", 7]), "field 'peers' holds 7, no address and port")]
+#[case("/settings/zone", json!(2), "in 'settings': field 'zone' is 2 of 2")]
+#[case("/settings/report/source", json!("odd"), "in 'settings': field 'source' holds unknown 'odd'")]
+#[case("/settings/useCases/0/earnings", json!(0), "in 'settings': field 'earnings' is 0, not above 0")]
+fn a_bad_field_of_the_new_ones_is_named(#[case] place: &str, #[case] value: Value, #[case] expected: &str) {
+    let mut told = told("127.0.0.1:1", "127.0.0.1:2");
+    moved(&mut told, &["127.0.0.1:7".parse().unwrap(), "127.0.0.1:8".parse().unwrap()]);
+    *told.pointer_mut(place).unwrap() = value;
+    assert_eq!(decoded(&told, &Variables::new(), 1024).err().as_deref(), Some(expected));
+}
+
+/// What settat is told says nothing of these.
+#[test]
+fn what_is_new_is_off_where_nothing_is_said_of_it() {
+    let (place, terms) = Place::decode(&told("127.0.0.1:1", "127.0.0.1:2"), &Variables::new(), 1024).unwrap();
+    assert!(!terms.loads_probed && !terms.loads_untold && !terms.peers);
+    assert!(place.peers.is_empty() && place.probe_path.is_none());
+    assert!(terms.use_cases.iter().all(|use_case| use_case.earnings == 1.0));
+}
+
 #[test]
 fn variables_go_before_the_file() {
     let variables = Variables::from([("LISTEN".into(), "127.0.0.1:9".into()), ("NAME".into(), "n9".into())]);
--- a/node/src/life/reread.rs
+++ b/node/src/life/reread.rs
@@ -1,10 +1,12 @@
-//! A new configuration while serving: SIGHUP has the file read anew. What it says of discovery and of
-//! descriptors holds from then on, the rest from the next start on.
+//! A new configuration while serving: SIGHUP has the file read anew, and all of it holds from then on but for the
+//! name, the address that clients connect to and the seed. Tickets that are open go on under the use case that they
+//! came with; nothing is sent because of it.
 
 use slog::{info, warn};
 
 use crate::life::place::{Variables, read};
 use crate::life::serve::Node;
+use crate::wire::peers::Ear;
 
 #[cfg(test)]
 mod tests;
@@ -18,13 +20,30 @@
         let mut borrowed = self.desk.borrow_mut();
         let desk = &mut *borrowed;
         desk.counters.rereads += 1;
-        match read(path, &variables) {
-            Ok((_, place, _)) => {
+        let taken = read(path, &variables).and_then(|(_, place, terms)| {
+            let own = place.peers.get(place.own_number).copied();
+            let ear = Ear::moved(desk.ear.as_ref(), &desk.handle, own)
+                .map_err(|problem| format!("cannot hear other balancers at {own:?}: {problem}"))?;
+            let renewed = desk.place.renew(place, terms, self.balancer.terms());
+            match renewed {
+                Ok(_) => desk.hear_at(ear),
+                Err(_) => ear.into_iter().for_each(|ear| ear.close(&desk.handle)),
+            }
+            renewed
+        });
+        match taken {
+            Ok(terms) => {
+                let place = &desk.place;
+                let changed = terms != *self.balancer.terms();
                 info!(desk.log, "configuration read anew"; "discovery" => %place.discovery,
-                    "clients_most" => place.clients_most, "links_most" => place.links_most);
-                (desk.place.clients_most, desk.place.links_most) = (place.clients_most, place.links_most);
-                (desk.place.messages_most, desk.place.crowd) = (place.messages_most, place.crowd);
-                desk.discovery_moved(place.discovery);
+                    "clients_most" => place.clients_most, "links_most" => place.links_most,
+                    "settings_changed" => changed, "use_cases" => place.use_cases.join(","));
+                desk.counters.settings_changed += u64::from(changed);
+                let address = place.discovery;
+                desk.discovery_moved(address);
+                if changed {
+                    self.balancer.terms_changed(terms);
+                }
             }
             Err(problem) => {
                 desk.counters.rereads_failed += 1;
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -51,6 +51,7 @@
                 Due::Link(slot) => self.link_due(slot),
                 Due::LinkTurn(slot) => self.link_ready(slot),
                 Due::Unsent(ticket, number, ending) => self.dispatch_over(ticket, number, ending, now),
+                Due::Unprobed(upstream) => self.probe_over(upstream, false),
                 Due::Discovery => self.discovery_due(),
                 Due::Accept => self.desk.borrow_mut().accept_again(),
                 Due::Stop => self.stop_on(),
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -25,6 +25,7 @@
 use crate::memory::deadlines::Deadlines;
 use crate::memory::desk::Desk;
 use crate::wire::discovery::Roster;
+use crate::wire::peers::Ear;
 
 /// Connections that may wait for us while a turn lasts.
 const BACKLOG: i32 = 1024;
@@ -77,6 +78,9 @@
         "version" => env!("CARGO_PKG_VERSION"), "clients_most" => place.clients_most,
         "links_most" => place.links_most);
     let (clock, seed) = (Clock::start(), place.seed);
+    let own = place.peers.get(place.own_number).copied();
+    let ear =
+        Ear::moved(None, &handle, own).map_err(|problem| format!("cannot hear at {own:?}: {problem}"))?;
     let now = clock.now();
     let desk = Rc::new(RefCell::new(Desk {
         clock,
@@ -91,6 +95,7 @@
         upstreams: SlotMap::with_key(),
         by_name: HashMap::new(),
         roster: Roster::new(seed, now),
+        ear,
         deadlines: Deadlines::default(),
         counters: Counters::default(),
         stopping: None,
--- a/node/src/memory/deadlines.rs
+++ b/node/src/memory/deadlines.rs
@@ -4,7 +4,7 @@
 
 use pinefront::{Ending, Micros};
 
-use crate::memory::slots::{ClientSlot, LinkSlot, TicketSlot};
+use crate::memory::slots::{ClientSlot, LinkSlot, TicketSlot, UpstreamSlot};
 
 #[cfg(test)]
 mod tests;
@@ -24,6 +24,8 @@
     LinkTurn(LinkSlot),
     /// A dispatch that never got a connection.
     Unsent(TicketSlot, usize, Ending),
+    /// A probe that never got a connection.
+    Unprobed(UpstreamSlot),
     /// Time to ask discovery, or to stop waiting for it.
     Discovery,
     /// Accepting was paused for want of descriptors.
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -10,7 +10,7 @@
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use pinefront::Micros;
 use slog::Logger;
-use slotmap::SlotMap;
+use slotmap::{Key, SlotMap};
 
 use crate::life::place::Place;
 use crate::life::serve::Node;
@@ -20,6 +20,7 @@
 use crate::memory::deadlines::{self, Deadlines};
 use crate::memory::slots::{ClientSlot, LinkSlot, TicketSlot, UpstreamSlot};
 use crate::wire::discovery::Roster;
+use crate::wire::peers::Ear;
 
 /// A socket with its place in the event loop.
 pub struct Wired {
@@ -78,7 +79,7 @@
     }
 }
 
-/// What a connection to an upstream carries.
+/// What a connection to an upstream carries: a dispatch, or a probe, which is of no ticket.
 pub struct Errand {
     pub ticket: TicketSlot,
     pub number: usize,
@@ -86,6 +87,12 @@
     pub expire_at: Micros,
 }
 
+impl Errand {
+    pub fn is_probe(&self) -> bool {
+        self.ticket.is_null()
+    }
+}
+
 pub struct Link {
     pub wired: Wired,
     pub upstream: UpstreamSlot,
@@ -137,6 +144,8 @@
     pub upstreams: SlotMap<UpstreamSlot, Upstream>,
     pub by_name: HashMap<Rc<str>, UpstreamSlot>,
     pub roster: Roster,
+    /// Where the other balancers are heard, if the settings let them speak.
+    pub ear: Option<Ear>,
     pub deadlines: Deadlines,
     pub counters: Counters,
     /// When it was told to stop: not ready from then on, and connections close between tickets.
--- a/node/src/stand.rs
+++ b/node/src/stand.rs
@@ -66,8 +66,14 @@
 
 impl Stand {
     pub fn new() -> Self {
+        Self::with(|_| {})
+    }
+
+    /// A balancer that is told so much else.
+    pub fn with(change: impl FnOnce(&mut Value)) -> Self {
         let discovery = listener();
-        let told = told("127.0.0.1:0", &discovery.local_addr().unwrap().to_string());
+        let mut told = told("127.0.0.1:0", &discovery.local_addr().unwrap().to_string());
+        change(&mut told);
         let (place, terms) = Place::decode(&told, &Variables::new(), 1024).unwrap();
         let event_loop = EventLoop::try_new().unwrap();
         let node = open(event_loop.handle(), &Pipe::default(), &told, place, terms).unwrap();
@@ -167,6 +173,23 @@
     }
 }
 
+/// Makes of what a balancer is told that of a fleet of another build: use cases of its own, loads told to probes, no
+/// second copies, and two balancers that hear each other at these addresses.
+pub fn moved(told: &mut Value, peers: &[SocketAddr]) {
+    let settings = &mut told["settings"];
+    settings["useCases"] = json!([
+        {"name": "swap", "effect": "unsafe", "promisedTimeUs": 280_000, "earnings": 5.0},
+        {"name": "status", "effect": "safe", "promisedTimeUs": 280_000, "earnings": 2.0}]);
+    settings["report"]["source"] = "on_probe".into();
+    settings["fleetSize"] = peers.len().into();
+    settings["dcs"] = json!(["b", "a"]);
+    for (name, allowed) in [("probes", true), ("peers", true), ("secondCopies", false)] {
+        settings["caps"][name] = allowed.into();
+    }
+    told["probe_path"] = "/load".into();
+    told["peers"] = peers.iter().map(SocketAddr::to_string).collect();
+}
+
 pub fn listener() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.set_nonblocking(true).unwrap();
--- a/node/src/wire/answers.rs
+++ b/node/src/wire/answers.rs
@@ -33,7 +33,8 @@
         let now = desk.now();
         let Some(link) = desk.links.get_mut(slot) else { return };
         let Some(errand) = link.errand.take() else { return };
-        let Some(upstream) = desk.upstreams.get(link.upstream).map(|upstream| Rc::clone(&upstream.id)) else {
+        let (probed, place) = (errand.is_probe(), link.upstream);
+        let Some(upstream) = desk.upstreams.get(place).map(|upstream| Rc::clone(&upstream.id)) else {
             return;
         };
         let message = link.inbox.take(end);
@@ -48,7 +49,7 @@
             503 | 504 if turned_away => Ending::TurnedAway,
             _ => Ending::Failed,
         };
-        let load = match desk.place.loads_told {
+        let load = match desk.place.loads_told || probed {
             true => load(response.headers),
             false => None,
         };
@@ -59,7 +60,9 @@
             false => desk.end_link(slot, reasons::LINK_LAST),
         }
         let told = desk.over(errand.ticket, errand.number);
-        desk.count_ending(ending);
+        if !probed {
+            desk.count_ending(ending);
+        }
         let last = ending == Ending::Succeeded;
         if told.is_some() && last {
             let own = |name: &str| heads::goes_on(name) && !name.eq_ignore_ascii_case("x-pressure");
@@ -72,6 +75,9 @@
         if let Some((busy, queue, held)) = load {
             self.balancer.load_reported(now, &upstream, busy, queue, held);
         }
+        if probed {
+            return self.probe_over(place, last);
+        }
         if let Some(id) = told {
             let took = now.saturating_sub(errand.sent);
             self.balancer.dispatch_ended(now, &id, errand.number, last, ending, took);
--- a/node/src/wire/hands.rs
+++ b/node/src/wire/hands.rs
@@ -8,6 +8,7 @@
 use crate::life::serve::Hands;
 use crate::memory::deadlines::Due;
 use crate::memory::desk::{Desk, Errand};
+use crate::memory::slots::TicketSlot;
 
 impl Host for Hands {
     fn dispatch(&mut self, ticket: &str, upstream: &str, expire_at: Micros) {
@@ -62,19 +63,49 @@
         desk.follow_list();
     }
 
-    fn probe(&mut self, _upstream: &str) {}
+    fn probe(&mut self, upstream: &str) {
+        self.0.borrow_mut().probe(upstream);
+    }
 
     fn close_idle(&mut self, upstream: &str) {
         let mut desk = self.0.borrow_mut();
         let Some(slot) = desk.by_name.get(upstream).copied() else { return };
-        let idle = desk.upstreams.get(slot).map(|upstream| upstream.idle.clone()).unwrap_or_default();
-        idle.into_iter().for_each(|link| desk.end_link(link, reasons::CALLED_OFF));
+        desk.drop_idle_links(slot, reasons::STALE);
     }
 
-    fn tell(&mut self, _balancer: Option<usize>, _words: &str) {}
+    fn tell(&mut self, balancer: Option<usize>, words: &str) {
+        self.0.borrow_mut().tell(balancer, words);
+    }
 }
 
 impl Desk {
+    /// Asks an upstream for its load at the path in the configuration. A probe waits as long as a connection may
+    /// take to come about: what tells its load later than that tells of another load.
+    fn probe(&mut self, id: &str) {
+        let now = self.now();
+        self.counters.probes += 1;
+        let Some(upstream) = self.by_name.get(id).copied() else { return };
+        let Some(path) = self.place.probe_path.clone() else {
+            self.deadlines.hang(now, Due::Unprobed(upstream));
+            return;
+        };
+        let address = self.upstreams.get(upstream).and_then(|upstream| upstream.address);
+        let linked = self.link_to(upstream).ok().zip(address);
+        let link = linked.and_then(|(slot, address)| Some((slot, address, self.links.get_mut(slot)?)));
+        let Some((slot, address, link)) = link else {
+            self.deadlines.hang(now, Due::Unprobed(upstream));
+            return;
+        };
+        let expire_at = now + self.place.connect_timeout;
+        link.errand = Some(Errand { ticket: TicketSlot::default(), number: 0, sent: now, expire_at });
+        link.outbox.push(Bytes::from(format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n")));
+        // What fails here is looked at on a later turn: we are inside a call of the module.
+        if link.connected && link.outbox.drain(&link.wired.stream).is_err() {
+            self.deadlines.hang(now, Due::LinkTurn(slot));
+        }
+        self.link_waits(slot, expire_at);
+    }
+
     fn dispatch(&mut self, id: &str, upstream: &str, expire_at: Micros) {
         let now = self.now();
         let Some(ticket) = self.by_id.get(id).copied() else { return };
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -1,4 +1,4 @@
-//! What is spoken: HTTP/1.1 with clients, upstreams and discovery.
+//! What is spoken: HTTP/1.1 with clients, upstreams and discovery, datagrams with other balancers.
 
 pub mod accepting;
 pub mod answers;
@@ -6,5 +6,6 @@
 pub mod discovery;
 pub mod hands;
 pub mod heads;
+pub mod peers;
 pub mod tickets;
 pub mod upstreams;
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -210,7 +210,7 @@
     let named = path.strip_prefix('/')?.split('/').next()?;
     match heads::field(fields, "x-lane") {
         Some(lane) if lane != named => None,
-        _ => place.use_cases.iter().position(|name| name == named),
+        _ => place.use_cases.iter().position(|name| name == named && !name.is_empty()),
     }
 }
 
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -3,6 +3,7 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
+use std::rc::Rc;
 
 use pinefront::{Ending, Micros};
 use slog::{info, warn};
@@ -81,17 +82,30 @@
     /// A connection ends, and with it the dispatch that it carries.
     fn link_over(&mut self, slot: LinkSlot, ending: Ending, reason: &'static str) {
         let mut desk = self.desk.borrow_mut();
+        let upstream = desk.links.get(slot).map(|link| link.upstream);
         let errand = desk.links.get_mut(slot).and_then(|link| link.errand.take());
         desk.end_link(slot, reason);
         if reason == reasons::CONNECT_FAILED {
             desk.doubt_list();
         }
         drop(desk);
-        if let Some(errand) = errand {
+        if let Some(upstream) = errand.as_ref().filter(|errand| errand.is_probe()).and(upstream) {
+            self.probe_over(upstream, false);
+        } else if let Some(errand) = errand {
             self.dispatch_over(errand.ticket, errand.number, ending, errand.sent);
         }
     }
 
+    /// Tells the module whether an upstream answered a probe.
+    pub fn probe_over(&mut self, upstream: UpstreamSlot, answered: bool) {
+        let mut desk = self.desk.borrow_mut();
+        let now = desk.now();
+        let Some(id) = desk.upstreams.get(upstream).map(|upstream| Rc::clone(&upstream.id)) else { return };
+        desk.counters.probes_answered += u64::from(answered);
+        drop(desk);
+        self.balancer.probed(now, &id, answered);
+    }
+
     /// Tells the module how a dispatch ended, unless its ticket has its final answer.
     pub fn dispatch_over(&mut self, ticket: TicketSlot, number: usize, ending: Ending, sent: Micros) {
         let mut desk = self.desk.borrow_mut();
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -228,27 +228,22 @@
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
             return;
         }
-        ticket.answered.clear();
         ticket.asks += 1;
-        ticket.waits = ready.into_iter().take(ASKED).collect();
-        if ticket.waits.is_empty() {
+        if ready.is_empty() {
             return self.hold(now, ticket);
         }
         let wait = self.terms.use_cases[ticket.use_case].promised_time / ASK_PART;
-        for u in ticket.waits.clone() {
-            let keeper = self.keeper(u);
-            let known = self.upstreams[u].held.is_some() && now < self.upstreams[u].reported + wait;
-            if known {
-                ticket.waits.retain(|waits| *waits != u);
-                ticket.answered.push(u);
-            } else if self.terms.loads_probed {
-                self.host.probe(&self.upstreams[u].id);
-            } else if keeper == self.terms.own_number {
-                self.upstreams[u].read_book(now);
-                ticket.waits.retain(|waits| *waits != u);
-                ticket.answered.push(u);
-            } else {
-                self.host.tell(Some(keeper), &Word::Asks(self.upstreams[u].short()).text());
+        (ticket.waits, ticket.answered) = ready.into_iter().take(ASKED).partition(|&u| {
+            let (keeper, upstream) = (self.keeper(u), &mut self.upstreams[u]);
+            if !self.terms.loads_probed && keeper == self.terms.own_number {
+                upstream.read_book(now);
+            }
+            upstream.held.is_none() || now >= upstream.reported + wait
+        });
+        for &u in &ticket.waits {
+            match self.terms.loads_probed {
+                true => self.host.probe(&self.upstreams[u].id),
+                false => self.host.tell(Some(self.keeper(u)), &Word::Asks(self.upstreams[u].short()).text()),
             }
         }
         if ticket.waits.is_empty() {
@@ -298,12 +293,8 @@
     fn in_time(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
         let (each, Some(held)) = (self.each(now, u), self.upstreams[u].held) else { return true };
         let spare = ticket.promised.min(ticket.hard_stop).saturating_sub(now) as f64;
-        let earnings = |use_case: &crate::UseCase| use_case.earnings;
-        let most = self.terms.use_cases.iter().map(earnings).fold(0.0, f64::max);
-        let worth = match ticket.within_share {
-            true => earnings(&self.terms.use_cases[ticket.use_case]) / most,
-            false => 0.0,
-        };
+        let earnings = self.terms.use_cases[ticket.use_case].earnings / self.terms.most_earned();
+        let worth = if ticket.within_share { earnings } else { 0.0 };
         let part = WORTHLESS_PART + (1.0 - WORTHLESS_PART) * worth;
         // With no hint of its work a ticket may be one of the long ones.
         let pace = &self.paces[ticket.use_case];
@@ -664,7 +655,8 @@
     /// place. Suspicion leaves a few in: when all seem ill, the cause lies elsewhere.
     fn candidates(&mut self, now: Micros, ticket: &Ticket) -> (Vec<usize>, Option<usize>) {
         // What is out may be of any use case: the slowest one sets how long silence is usual.
-        let expected = (0..self.paces.len()).map(|c| self.expected(c)).fold(0.0, f64::max);
+        let in_use = (0..self.paces.len()).filter(|&c| self.terms.use_cases[c].earnings > 0.0);
+        let expected = in_use.map(|c| self.expected(c)).fold(0.0, f64::max);
         let failed = self.seen.failed.read(now, RECENT);
         let usual = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
         let heard = self.heard_within(now);
@@ -850,8 +842,8 @@
     fn set_pump(&mut self) {
         if !self.pump_set && !self.held.is_empty() {
             self.pump_set = true;
-            let promised = self.terms.use_cases.iter().map(|c| c.promised_time).min().unwrap_or(0);
-            self.host.wake(if self.asks() { promised / ASK_AGAIN } else { PUMP_EVERY }, PUMP_ALARM);
+            let again = self.terms.shortest_promise() / ASK_AGAIN;
+            self.host.wake(if self.asks() { again } else { PUMP_EVERY }, PUMP_ALARM);
         }
     }
 
--- a/src/known.rs
+++ b/src/known.rs
@@ -256,6 +256,24 @@
 }
 
 impl<H: Host> Balancer<H> {
+    /// New terms hold from now on; tickets that are open go on under the use cases they came with. Use cases keep
+    /// their numbers: those of before stand first, as they were or earning 0 where clients can't ask for them now.
+    pub fn terms_changed(&mut self, terms: Terms) {
+        self.paces.resize(terms.use_cases.len(), Pace::default());
+        for upstream in &mut self.upstreams {
+            upstream.fares.resize(terms.use_cases.len(), Fare::default());
+        }
+        self.admitted = vec![Fading::default(); terms.allowances.len()];
+        self.terms = terms;
+        self.held.sort_by_key(|ticket| ticket.promised);
+        self.order.clear();
+        self.draw_order();
+    }
+
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
     /// The shortest answer time of the quickest upstream that is ready.
     pub(crate) fn quickest(&self) -> f64 {
         let known = self.order.iter().filter_map(|&u| self.upstreams[u].shortest);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,16 +78,16 @@
 }
 
 /// One kind of ticket.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct UseCase {
     pub promised_time: Micros,
     pub effect: Effect,
-    /// What one unit of work earns, against that of other use cases.
+    /// What one unit of work earns, against that of other use cases; 0 for one that no client can ask for any more.
     pub earnings: f64,
 }
 
 /// How a fresh upstream warms, and what pushes it over.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Warming {
     pub starts_at: f64,
     pub warm_after: Micros,
@@ -96,7 +96,7 @@
 }
 
 /// What a deployment lays down for one balancer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
     pub balancers: usize,
     /// This balancer's number, counted from 0.
@@ -120,3 +120,16 @@
     /// Tickets a second that each account may send, over all balancers.
     pub allowances: Vec<f64>,
 }
+
+impl Terms {
+    /// The use cases that clients can ask for.
+    fn in_use(&self) -> impl Iterator<Item = &UseCase> {
+        self.use_cases.iter().filter(|use_case| use_case.earnings > 0.0)
+    }
+    pub(crate) fn shortest_promise(&self) -> Micros {
+        self.in_use().map(|use_case| use_case.promised_time).min().unwrap_or(0)
+    }
+    pub(crate) fn most_earned(&self) -> f64 {
+        self.in_use().map(|use_case| use_case.earnings).fold(f64::MIN_POSITIVE, f64::max)
+    }
+}
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -126,7 +126,7 @@
     /// Answer time for each ticket that an upstream holds, as is usual for its capacity. Few or old answers count
     /// little: one long ticket would else look as if none could be in time, and nothing more would be learned.
     pub(crate) fn each(&self, now: Micros, u: usize) -> f64 {
-        let promised = self.terms.use_cases.iter().map(|c| c.promised_time).min().unwrap_or(0) as f64;
+        let promised = self.terms.shortest_promise() as f64;
         let [sum, count] =
             [&self.seen.each.total, &self.seen.each.weight].map(|part| part.read(now, LASTING));
         let usual = (sum / self.capacity(u) + EACH.0 * EACH.1 * promised) / (count + EACH.0);
