--- a/src/decide.rs
+++ b/src/decide.rs
@@ -304,41 +304,34 @@
 
     /// What another balancer tells. All of it is hearsay that fades; what can't be read is passed over.
     pub fn told(&mut self, now: Micros, from: usize, words: &str) {
+        let Some(word) = Word::read(words) else { return };
         let named = |short| self.upstreams.iter().position(|up| up.short() == short && !up.id.is_empty());
-        match Word::read(words) {
-            Some(Word::Dropped(rested)) => self.believe_dropped(now, rested),
-            Some(Word::Sent(short)) => _ = named(short).map(|u| self.upstreams[u].note(from, now)),
-            Some(Word::Ended(short, use_case, fate)) => {
-                _ = named(short).map(|u| self.noted(now, from, u, use_case, fate))
+        match (word, word.upstream().and_then(named)) {
+            (Word::Dropped(rested), _) => self.believe_dropped(now, rested),
+            (Word::Sent(_), Some(u)) => self.upstreams[u].note(from, now),
+            (Word::Ended(_, use_case, fate), Some(u)) => self.noted(now, from, u, use_case, fate),
+            (Word::Asks(short), Some(u)) => {
+                let held = self.upstreams[u].read_book(now) as u64;
+                self.host.tell(Some(from), &Word::Holds(short, held).text());
             }
-            Some(Word::Asks(short)) => {
-                let held = named(short).map(|u| self.upstreams[u].read_book(now));
-                _ = held.map(|held| self.host.tell(Some(from), &Word::Holds(short, held as u64).text()));
-            }
-            Some(Word::Holds(short, held)) => {
-                let Some(u) = named(short) else { return };
+            (Word::Holds(_, held), Some(u)) if from == self.keeper(u) => {
                 (self.upstreams[u].held, self.upstreams[u].reported) = (Some(held as f64), now);
                 self.heard(now, u, true);
             }
-            Some(Word::Fails(short, use_case, span)) => {
-                _ = named(short).map(|u| self.shun(now, u, use_case, span))
-            }
-            None => {}
+            (Word::Fails(_, c, span), Some(u)) if from == self.keeper(u) => self.shun(now, u, c, span),
+            _ => {}
         }
     }
 
     /// Tells who keeps an upstream's book what was sent there or how it ended.
     fn tell_keeper(&mut self, now: Micros, u: usize, ended: Option<(usize, Fate)>) {
         let (keeper, own, short) = (self.keeper(u), self.terms.own_number, self.upstreams[u].short());
+        let word = ended.map_or(Word::Sent(short), |(use_case, fate)| Word::Ended(short, use_case, fate));
         match ended {
-            _ if !self.terms.peers => {}
-            None if self.terms.loads_probed => {}
-            None if keeper == own => self.upstreams[u].note(own, now),
-            None => self.host.tell(Some(keeper), &Word::Sent(short).text()),
-            Some((use_case, fate)) if keeper == own => self.noted(now, own, u, use_case, fate),
-            Some((use_case, fate)) => {
-                self.host.tell(Some(keeper), &Word::Ended(short, use_case, fate).text())
-            }
+            _ if !self.terms.peers || (ended.is_none() && self.terms.loads_probed) => {}
+            _ if keeper != own => self.host.tell(Some(keeper), &word.text()),
+            None => self.upstreams[u].note(own, now),
+            Some((use_case, fate)) => self.noted(now, own, u, use_case, fate),
         }
     }
 
@@ -356,10 +349,8 @@
         }
         let [failed, succeeded] = [&fare.failed, &fare.succeeded].map(|sum| sum.read(now, SHUN_HORIZON));
         let again = now < fare.shunned_until + 2 * SHUN;
-        if failed < (if again { SHUNNED.1 / 2.0 } else { SHUNNED.1 })
-            || failed < SHUNNED.0 * (failed + succeeded)
-            || now < fare.shunned_until
-        {
+        let enough = if again { SHUNNED.1 / 2.0 } else { SHUNNED.1 };
+        if failed < enough.max(SHUNNED.0 * (failed + succeeded)) || now < fare.shunned_until {
             return;
         }
         fare.times = if again { (fare.times + 1).min(SHUN_DOUBLINGS) } else { 0 };
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -589,7 +589,7 @@
             balancer.load_reported(now, &id, None, None, Some(held as f64));
             balancer.probed(now, &id, true);
         }
-        false => balancer.told(now, 3, &format!("= {short:x} {held:x}")),
+        false => balancer.told(now, balancer.keeper(u), &format!("= {short:x} {held:x}")),
     }
 }
 
--- a/src/words.rs
+++ b/src/words.rs
@@ -52,6 +52,18 @@
         })
     }
 
+    /// Which upstream it is about.
+    pub(crate) fn upstream(self) -> Option<u64> {
+        match self {
+            Self::Sent(upstream)
+            | Self::Ended(upstream, ..)
+            | Self::Asks(upstream)
+            | Self::Holds(upstream, _)
+            | Self::Fails(upstream, ..) => Some(upstream),
+            Self::Dropped(_) => None,
+        }
+    }
+
     pub(crate) fn text(self) -> String {
         match self {
             Self::Sent(upstream) => format!("+ {upstream:x}"),
