--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,7 +14,7 @@
 use nanorand::{Rng, WyRand};
 
 use crate::arithmetic::{clipped_step, dot, mixed, project, relative, softplus};
-use crate::known::{Balancer, Dispatch, FEATURES, Scene, Ticket, Upstream};
+use crate::known::{Balancer, Dispatch, FAME_HORIZON, FEATURES, Scene, Ticket, Upstream};
 use crate::measures::{LASTING, RECENT, SECOND};
 use crate::words::{Fate, Word};
 use crate::{Effect, Ending, Group, Host, Micros, Terms};
@@ -114,7 +114,6 @@
 /// How long a use case is kept from an upstream, its doublings, and the failed part from which it is.
 const SHUN: Micros = 4_000_000;
 const SHUN_DOUBLINGS: u32 = 2;
-const SHUN_HORIZON: f64 = 2.0 * RECENT;
 const SHUNNED: (f64, f64) = (0.56, 2.5);
 /// How long dropped connections are believed in, and the rest that a dropped one had at least.
 const DROPPED_BELIEVED: Micros = 15_000_000;
@@ -296,9 +295,10 @@
         let earnings = self.terms.use_cases[ticket.use_case].earnings / self.terms.most_earned();
         let worth = if ticket.within_share { earnings } else { 0.0 };
         let part = WORTHLESS_PART + (1.0 - WORTHLESS_PART) * worth;
-        // With no hint of its work a ticket may be one of the long ones.
+        // With no hint of its work a ticket may be one of the long ones; once sent there is less to lose.
         let pace = &self.paces[ticket.use_case];
-        let scatter = pace.hint.read().map_or(pace.scatter().min(2.0), |_| 0.0);
+        let long = pace.hint.read().is_none() && ticket.dispatches.is_empty();
+        let scatter = if long { pace.scatter().min(2.0) } else { 0.0 };
         each * held * (1.0 + scatter) <= part * (spare - each * ticket.work * (1.0 + scatter))
     }
 
@@ -311,11 +311,12 @@
             (Word::Sent(_), Some(u)) => self.upstreams[u].note(from, now),
             (Word::Ended(_, use_case, fate), Some(u)) => self.noted(now, from, u, use_case, fate),
             (Word::Asks(short), Some(u)) => {
-                let held = self.upstreams[u].read_book(now) as u64;
-                self.host.tell(Some(from), &Word::Holds(short, held).text());
+                let (held, lost) = (self.upstreams[u].read_book(now) as u64, self.upstreams[u].lost);
+                self.host.tell(Some(from), &Word::Holds(short, held, lost).text());
             }
-            (Word::Holds(_, held), Some(u)) if from == self.keeper(u) => {
-                (self.upstreams[u].held, self.upstreams[u].reported) = (Some(held as f64), now);
+            (Word::Holds(_, held, lost), Some(u)) if from == self.keeper(u) => {
+                let upstream = &mut self.upstreams[u];
+                (upstream.held, upstream.reported, upstream.lost) = (Some(held as f64), now, lost);
                 self.heard(now, u, true);
             }
             (Word::Fails(_, c, span), Some(u)) if from == self.keeper(u) => self.shun(now, u, c, span),
@@ -343,11 +344,11 @@
         }
         let Some(fare) = upstream.fares.get_mut(use_case) else { return };
         match fate {
-            Fate::Passed => return fare.succeeded.add(now, SHUN_HORIZON, 1.0),
+            Fate::Passed => return fare.succeeded.add(now, FAME_HORIZON, 1.0),
             Fate::Neither => return,
-            Fate::Failed => fare.failed.add(now, SHUN_HORIZON, 1.0),
+            Fate::Failed => fare.failed.add(now, FAME_HORIZON, 1.0),
         }
-        let [failed, succeeded] = [&fare.failed, &fare.succeeded].map(|sum| sum.read(now, SHUN_HORIZON));
+        let [failed, succeeded] = [&fare.failed, &fare.succeeded].map(|sum| sum.read(now, FAME_HORIZON));
         let again = now < fare.shunned_until + 2 * SHUN;
         let enough = if again { SHUNNED.1 / 2.0 } else { SHUNNED.1 };
         if failed < enough.max(SHUNNED.0 * (failed + succeeded)) || now < fare.shunned_until {
@@ -460,13 +461,13 @@
         if now < self.dropped.1 && rested.is_some_and(|rested| rested >= self.dropped.0) {
             self.host.close_idle(&upstream.id);
         }
+        ticket.asks = 0;
         ticket.dispatches.push(Dispatch { rested, before, ..Dispatch::new(u, now, scene) });
         let id = Rc::clone(&upstream.id);
         // Where a dispatch can be neither joined by a copy nor called off, it ends by itself in time for another.
         let lone = !self.terms.second_copies && !self.terms.may_call_off && self.redone(ticket);
         let spare = ticket.promised.saturating_sub(now) as f64;
-        let failed = self.seen.failed.read(now, RECENT);
-        let share = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
+        let share = self.upstreams[u].lost.min(100) as f64 / 100.0;
         let least = spare * (LONE.1 - LONE.2 * share).max(LONE.0);
         let usual = PATIENCE.0 * self.expected(ticket.use_case);
         let lone_patience = usual.max(least).min(LONE.1 * spare).max(PUMP_EVERY as f64);
--- a/src/known.rs
+++ b/src/known.rs
@@ -16,6 +16,8 @@
 const KNOWN_FOR: Micros = 60_000_000;
 
 /// Dispatches that a book holds at most, and for how long: longer than tickets take.
+/// How long a book remembers how dispatches ended.
+pub(crate) const FAME_HORIZON: f64 = 4e6;
 const BOOK_MOST: usize = 1024;
 const BOOKED_FOR: Micros = 4_000_000;
 
@@ -55,6 +57,8 @@
     pub(crate) queue: Option<f64>,
     /// What it holds in all, as far as it was told.
     pub(crate) held: Option<f64>,
+    /// Hundredth parts of all dispatches there that failed of late, as its keeper tells.
+    pub(crate) lost: u64,
     pub(crate) reported: Micros,
     /// When something was last sent there or came from it.
     pub(crate) used: Option<Micros>,
@@ -314,10 +318,19 @@
         }
     }
 
+    /// Hundredth parts of what the book tells of that failed. One failure among few is no sign.
+    pub(crate) fn booked_lost(&self, now: Micros) -> u64 {
+        let sum = |of: fn(&Fare) -> &Fading| {
+            self.fares.iter().map(|fare| of(fare).read(now, FAME_HORIZON)).sum::<f64>()
+        };
+        let (failed, succeeded) = (sum(|fare| &fare.failed), sum(|fare| &fare.succeeded));
+        (100.0 * failed / (failed + succeeded + 1.0)) as u64
+    }
+
     /// What it holds by the book. A word that was lost must not count for ever.
     pub(crate) fn read_book(&mut self, now: Micros) -> usize {
         self.book.retain(|entry| entry.1 + BOOKED_FOR > now);
-        (self.held, self.reported) = (Some(self.book.len() as f64), now);
+        (self.held, self.reported, self.lost) = (Some(self.book.len() as f64), now, self.booked_lost(now));
         self.book.len()
     }
 
