--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,8 +37,8 @@
 const EPOCHS: usize = 2;
 const ANCHOR: f64 = 0.02; // share of the way back to the start at each update: no drift
 const OUTCOMES_AN_UPDATE: usize = 256;
-/// Candidates up to which every outcome teaches; of more, as many outcomes as make up for it: what is kept of a
-/// dispatch and read by the learning would else grow with the fleet.
+/// Candidates up to which every outcome teaches; of more, as many outcomes as make up for it: what is kept of
+/// a dispatch and read by the learning would else grow with the fleet.
 const TEACHING: usize = 32;
 const UPDATE_EVERY: Micros = 2_000_000;
 
@@ -58,8 +58,7 @@
 const PATIENCE: (f64, f64) = (3.0, 4.0);
 /// Further dispatches as a share of tickets when all recent ones succeeded, and some that are always open.
 const FURTHER: (f64, f64) = (0.3, 2.0);
-/// Parts of a ticket's time that a dispatch which nothing can join or end waits at least and at most, and how
-/// much less of it where a share of all dispatches fails.
+/// Parts of its time that a dispatch which nothing can join or end waits, and how much less where some fail.
 const LONE: (f64, f64, f64) = (0.45, 0.85, 1.5);
 
 /// In flight against what the shortest answer times would need, and what all may always have at an upstream.
@@ -91,18 +90,16 @@
 
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
 const COLD: (f64, f64) = (0.4, 0.5);
-/// Part of the budget that may be held where all of it was told, and the part of the fall time it is fresh for.
+/// Part of the budget that may be held where all of it was told, and part of the fall time it is fresh for.
 const COLD_HELD: f64 = 0.5;
 const COLD_TOLD_PART: Micros = 16;
 
 /// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
 const FOLLOW: (f64, f64) = (0.8, 32.0);
 
-/// Upstreams asked for each ticket; the part of the promised time that their answers are waited for, and when a
-/// ticket that found none in time asks again.
+/// Upstreams asked for each ticket; parts of the promised time to wait for answers, and to ask again after.
 const ASKED: usize = 5;
-/// What an upstream that told to hold nothing counts as holding: with one core, one that holds a ticket is far
-/// from it; where weights are listed most have several.
+/// What an upstream that holds nothing counts as holding: with one core, and with several (weights listed).
 const IDLE: (f64, f64) = (0.2, 0.5);
 const ASK_PART: Micros = 20;
 const ASK_AGAIN: Micros = 14;
@@ -189,8 +186,8 @@
             [&self.seen.pressure.total, &self.seen.pressure.weight].map(|s| s.read(now, SECOND));
         let ease = 1.0 - (late + HEARD_PRIOR) / (heard + HEARD_PRIOR);
         self.let_through = (self.let_through * (1.0 + THINNING * ease)).clamp(LEAST_THROUGH, 1.0);
-        // With several upstreams to itself, a balancer's in-flight limit alone is fine enough; where upstreams
-        // are asked for their load, nothing has to be guessed.
+        // With several upstreams to itself, a balancer's in-flight limit alone is fine enough; where they are
+        // asked for their load, nothing has to be guessed.
         let own = self.order.len() as f64 / self.terms.balancers as f64;
         let felt = if self.asks() { 0.0 } else { 1.0 / (1.0 + own.powi(4)) };
         let let_through = 1.0 - (1.0 - self.let_through) * felt;
@@ -211,8 +208,8 @@
         }
     }
 
-    /// Whether what upstreams hold is asked for before a ticket is placed: of themselves or of who keeps their
-    /// book. A balancer with a ticket or two a second can't know it from its own.
+    /// Whether what upstreams hold is asked for before a ticket is placed: of themselves or of who keeps
+    /// their book. A balancer with a ticket or two a second can't know it from its own.
     pub(crate) fn asks(&self) -> bool {
         self.terms.loads_probed || (self.terms.loads_untold && self.terms.peers)
     }
@@ -464,7 +461,7 @@
         ticket.asks = 0;
         ticket.dispatches.push(Dispatch { rested, before, ..Dispatch::new(u, now, scene) });
         let id = Rc::clone(&upstream.id);
-        // Where a dispatch can be neither joined by a copy nor called off, it ends by itself in time for another.
+        // Where a dispatch can be neither joined nor called off, it ends by itself in time for another.
         let lone = !self.terms.second_copies && !self.terms.may_call_off && self.redone(ticket);
         let spare = ticket.promised.saturating_sub(now) as f64;
         let share = self.upstreams[u].lost.min(100) as f64 / 100.0;
@@ -633,7 +630,7 @@
         (span, if spent_in == span { spent } else { 0.0 }, (budget + chance).floor())
     }
 
-    /// Whether a cold upstream that just told what it holds, of all balancers, holds little against its budget.
+    /// Whether a cold upstream that just told what it holds of all balancers holds little for its budget.
     fn cold_room(&self, now: Micros, u: usize) -> bool {
         let (upstream, warming) = (&self.upstreams[u], &self.terms.warming);
         let fresh = self.asks() && now < upstream.reported + warming.span / COLD_TOLD_PART;
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -15,7 +15,7 @@
 /// Answers that tell of an upstream's present state.
 pub(crate) const HEARD_EACH: f64 = 4.0;
 /// Answers that what is expected unheard counts as, and the part of the promised time that is expected then.
-pub(crate) const EACH: (f64, f64) = (3.0, 0.125);
+pub(crate) const EACH: (f64, f64) = (3.0, 0.2);
 /// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
 const FOLLOWS: (f64, f64) = (0.1, 0.002);
 
@@ -129,7 +129,7 @@
         let promised = self.terms.shortest_promise() as f64;
         let [sum, count] =
             [&self.seen.each.total, &self.seen.each.weight].map(|part| part.read(now, LASTING));
-        let usual = (sum / self.capacity(u) + EACH.0 * EACH.1 * promised) / (count + EACH.0);
+        let usual = (sum + EACH.0 * EACH.1 * promised) / (count + EACH.0) / self.capacity(u);
         usual / self.grown(now, u)
     }
 
