--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,10 +28,9 @@
 const FLOOR: f64 = 0.4;
 /// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
 const WIDEST: f64 = 3.0;
-/// Fewest balancers that keep to an upstream and upstreams that one keeps to.
+/// Fewest balancers that keep to an upstream and upstreams that one keeps to, also where loads are asked for.
 const CIRCLE_SHARERS: usize = 4;
-const CIRCLE_LEAST: usize = 2;
-const CIRCLE_ASKED: usize = 6;
+const CIRCLE_LEAST: (usize, usize) = (2, 6);
 const STEP: f64 = 0.1;
 const CLIP: f64 = 0.2; // the paper's ε
 const EPOCHS: usize = 2;
@@ -104,6 +103,7 @@
 const ASK_PART: Micros = 20;
 const ASK_AGAIN: Micros = 14;
 const ASKS_MOST: usize = 3;
+const FRESH: Micros = 4;
 /// In place of a dispatch's number, for a ticket that asks.
 const ASKING: usize = usize::MAX;
 /// Part of its time that a ticket that earns nothing may take; one that earns most may take all.
@@ -156,7 +156,7 @@
     /// How many upstreams this balancer keeps to, and how many balancers keep to each.
     pub(crate) fn circle(&self) -> (usize, f64) {
         let (ready, balancers) = (self.order.len(), self.terms.balancers);
-        let least = if self.asks() { CIRCLE_ASKED } else { CIRCLE_LEAST };
+        let least = if self.asks() { CIRCLE_LEAST.1 } else { CIRCLE_LEAST.0 };
         let kept = (CIRCLE_SHARERS * ready).div_ceil(balancers).max(least).min(ready);
         (kept, (kept * balancers) as f64 / ready.max(1) as f64)
     }
@@ -202,10 +202,7 @@
     /// The ordinary path of a ticket.
     fn place(&mut self, now: Micros, ticket: &mut Ticket) -> bool {
         let (ready, trial) = self.candidates(now, ticket);
-        match trial {
-            Some(u) => self.send(now, ticket, u, None),
-            None => self.draw(now, ticket, &ready),
-        }
+        if let Some(u) = trial { self.send(now, ticket, u, None) } else { self.draw(now, ticket, &ready) }
     }
 
     /// Whether what upstreams hold is asked for before a ticket is placed: of themselves or of who keeps
@@ -229,12 +226,15 @@
             return self.hold(now, ticket);
         }
         let wait = self.terms.use_cases[ticket.use_case].promised_time / ASK_PART;
+        // Where none was in time of late, words about each ticket would flood all balancers.
+        let flood = !self.terms.loads_probed && now < self.in_vain + FRESH * wait;
+        let fresh = if flood { FRESH * wait } else { wait };
         (ticket.waits, ticket.answered) = ready.into_iter().take(ASKED).partition(|&u| {
             let (keeper, upstream) = (self.keeper(u), &mut self.upstreams[u]);
             if !self.terms.loads_probed && keeper == self.terms.own_number {
                 upstream.read_book(now);
             }
-            upstream.held.is_none() || now >= upstream.reported + wait
+            upstream.held.is_none() || now >= upstream.reported + fresh
         });
         for &u in &ticket.waits {
             match self.terms.loads_probed {
@@ -264,7 +264,7 @@
         }
     }
 
-    /// What came back from a probe.
+    /// What came of a probe.
     pub fn probed(&mut self, now: Micros, id: &str, answered: bool) {
         if let Some(&u) = self.by_id.get(id) {
             self.heard(now, u, answered);
@@ -293,9 +293,9 @@
         let worth = if ticket.within_share { earnings } else { 0.0 };
         let part = WORTHLESS_PART + (1.0 - WORTHLESS_PART) * worth;
         // With no hint of its work a ticket may be one of the long ones; once sent there is less to lose.
-        let pace = &self.paces[ticket.use_case];
-        let long = pace.hint.read().is_none() && ticket.dispatches.is_empty();
-        let scatter = if long { pace.scatter().min(2.0) } else { 0.0 };
+        let pace = Some(&self.paces[ticket.use_case]).filter(|pace| pace.hint.read().is_none());
+        let scatter =
+            pace.filter(|_| ticket.dispatches.is_empty()).map_or(0.0, |pace| pace.scatter().min(2.0));
         each * held * (1.0 + scatter) <= part * (spare - each * ticket.work * (1.0 + scatter))
     }
 
@@ -820,6 +820,7 @@
 
     /// Lets a ticket that asked in vain ask once more later, if it could still be placed then.
     fn hold(&mut self, now: Micros, ticket: Ticket) {
+        self.in_vain = now;
         let promised = self.terms.use_cases[ticket.use_case].promised_time;
         if now + promised / ASK_AGAIN > self.last_start(now, &ticket) || ticket.asks >= ASKS_MOST {
             return self.give_up(now, ticket);
@@ -831,8 +832,8 @@
     fn set_pump(&mut self) {
         if !self.pump_set && !self.held.is_empty() {
             self.pump_set = true;
-            let again = self.terms.shortest_promise() / ASK_AGAIN;
-            self.host.wake(if self.asks() { again } else { PUMP_EVERY }, PUMP_ALARM);
+            let asks = self.asks().then(|| self.terms.shortest_promise() / ASK_AGAIN);
+            self.host.wake(asks.unwrap_or(PUMP_EVERY), PUMP_ALARM);
         }
     }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -695,3 +695,18 @@
     let until = balancer.host.0.borrow().iter().find_map(|act| act.split(" until ").nth(1)?.parse().ok());
     assert_eq!(until < Some(sent.promised - START_AT), early);
 }
+
+/// Tried again at once by clients that do not wait, each ticket would cost dozens of words.
+#[rstest]
+fn where_none_is_in_time_not_every_ticket_asks() {
+    let (mut balancer, diary) = asking(Effect::Redoable, false);
+    for n in 0..50 {
+        let (now, asked) = (START_AT + n * 5 * MS, diary.count("tell"));
+        arrive(&mut balancer, now, &n.to_string());
+        if diary.count("tell") > asked {
+            (0..4).for_each(|u| holds(&mut balancer, now + MS, u, 90));
+        }
+    }
+    // A quarter of a second: four asked each 80 ms, and not each 20.
+    assert!(diary.count("tell") <= 16 && diary.count("dispatch") == 0, "{}", diary.count("tell"));
+}
--- a/src/known.rs
+++ b/src/known.rs
@@ -198,6 +198,8 @@
     pub(crate) held: Vec<Ticket>,
     /// Tickets that wait for what upstreams hold.
     pub(crate) asking: Vec<Ticket>,
+    /// When a ticket last found no upstream in time.
+    pub(crate) in_vain: Micros,
     /// Idle connections were found dropped: after how long a rest, and until when that is believed.
     pub(crate) dropped: (Micros, Micros),
     /// Tickets to look at, and the dispatch that each was set for.
@@ -239,6 +241,7 @@
             tickets: HashMap::new(),
             held: Vec::new(),
             asking: Vec::new(),
+            in_vain: 0,
             dropped: (0, 0),
             alarms: HashMap::new(),
             last_alarm: 0,
