--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,10 +1,10 @@
-//! Every decision of the balancer. [`Balancer::start`] takes the [`Host`] it acts through (`lib.rs`); then
-//! one method is called for each thing that happens, with the time, and acts by calling the host. The
-//! ordinary path is `place`, or `ask` and `place_asked` (`docs/design.md`); every dispatch passes `send`, where `permitted` keeps the
-//! rules. Beside the path stand six mechanisms:
+//! Every decision of the balancer. [`Balancer::start`] takes the [`Host`] it acts through (`lib.rs`); then one
+//! method is called for each thing that happens, with the time, and acts by calling the host. The ordinary path
+//! is `place`, or `ask` and `place_asked` (`docs/design.md`); every dispatch passes `send`, where `permitted`
+//! keeps the rules. Beside the path stand six mechanisms:
 //! 1. following the list and drains (`list_*`);
 //! 2. the cold allowance (`cold_budget`);
-//! 3. suspicion of silent or failing upstreams, and trials (`suspect`); by books where loads are asked (`noted`);
+//! 3. suspicion of silent or failing upstreams, and trials (`suspect`); or what books tell (`noted`);
 //! 4. further dispatches and patience (`may_spend_more`, `patience_ran_out`);
 //! 5. the in-flight limit, and holding or dismissing beyond it (`admit`, `pump`);
 //! 6. account shares under pressure (`within_share`).
