--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,7 @@
 //! Every decision of the balancer. [`Balancer::start`] takes the [`Host`] it acts through (`lib.rs`); then
 //! a method is called for each thing that happens, with the time, and acts by calling the host. The ordinary
-//! path is `place`, or `ask` and `place_asked` (`docs/design.md`); each dispatch passes `send`, where `permitted`
-//! keeps the rules. Beside the path stand six mechanisms:
+//! path is `place`, or `ask` and `place_asked` (`docs/design.md`); each dispatch passes `send`, `permitted`
+//! keeps the rules there. Beside the path stand six mechanisms:
 //! 1. following the list and drains (`list_*`);
 //! 2. the cold allowance (`cold_budget`);
 //! 3. suspicion of silent or failing upstreams, and trials (`suspect`); or what books tell (`noted`);
