--- a/src/decide.rs
+++ b/src/decide.rs
@@ -90,7 +90,7 @@
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
 const COLD: (f64, f64) = (0.4, 0.5);
 /// Part of the budget that may be held where all of it was told, and part of the fall time it is fresh for.
-const COLD_HELD: f64 = 0.5;
+const COLD_HELD: f64 = 0.25;
 const COLD_TOLD_PART: Micros = 16;
 
 /// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
