--- a/node/src/life/place.rs
+++ b/node/src/life/place.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use pinefront::{Effect, Micros, Terms, UseCase};
+use pinefront::{Effect, Group, Micros, Terms, UseCase};
 use pinefront_terms::fields::{Decoded, list, optional, part, text, whole};
 use pinefront_terms::terms;
 use serde_json::Value;
@@ -41,8 +41,8 @@
     /// Names by the module's numbers; blank for one that clients can't ask for any more.
     pub use_cases: Vec<String>,
     pub effects: Vec<Effect>,
-    /// Names of all that there have been since the start.
-    pub known_use_cases: Vec<String>,
+    /// All that there have been since the start, as they were first told.
+    pub known_use_cases: Vec<(String, Effect)>,
     pub accounts: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
@@ -77,33 +77,48 @@
         numbered(&mut self.kinds, name)
     }
 
+    /// Fields that a new file says otherwise and that can't change while serving.
+    pub fn kept_of(&self, new: &Self) -> Vec<&'static str> {
+        let otherwise = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("seed", self.seed != new.seed),
+        ];
+        otherwise.into_iter().filter(|field| field.1).map(|field| field.0).collect()
+    }
+
     /// Takes new settings in a running program: what was told once keeps its number. Use cases that are the same as
     /// before are found again, so that going back and forth adds none. Tells the module's new terms.
     pub fn renew(&mut self, mut new: Self, mut terms: Terms, old: &Terms) -> Decoded<Terms> {
         if new.ask_within.is_some() != self.ask_within.is_some() {
             return Err("in 'settings': field 'registryMode' can't change while serving".into());
         }
+        let mut known = self.known_use_cases.clone();
         let mut table: Vec<UseCase> = old.use_cases.clone();
-        table.iter_mut().for_each(|use_case| use_case.earnings = 0.0);
-        let mut names = self.known_use_cases.clone();
-        let mut open = vec![String::new(); names.len()];
+        let mut open = vec![String::new(); known.len()];
+        for (use_case, (name, effect)) in table.iter_mut().zip(&known) {
+            // Tickets of it may be open. Told otherwise now, its repeats keep to both.
+            let now = new.use_cases.iter().zip(&terms.use_cases).find(|(now, _)| *now == name);
+            use_case.effect = now.map_or(*effect, |(_, now)| stricter(*effect, now.effect));
+            use_case.earnings = 0.0;
+        }
         for (name, use_case) in new.use_cases.iter().zip(terms.use_cases) {
-            let same = |n: &usize| names[*n] == *name && table[*n].effect == use_case.effect;
-            let at = (0..names.len()).find(same).unwrap_or(names.len());
-            if at == names.len() {
-                names.push(name.clone());
+            let same = |known: &(String, Effect)| known.0 == *name && known.1 == use_case.effect;
+            let at = known.iter().position(same).unwrap_or(known.len());
+            if at == known.len() {
+                known.push((name.clone(), use_case.effect));
                 open.push(String::new());
                 table.push(use_case.clone());
             }
             (table[at], open[at]) = (use_case, name.clone());
         }
-        if names.len() > NAMES_MOST {
+        if known.len() > NAMES_MOST {
             return Err(format!(
                 "in 'settings': more than {NAMES_MOST} use cases since the start; restart instead"
             ));
         }
         new.effects = table.iter().map(|use_case| use_case.effect).collect();
-        (terms.use_cases, new.use_cases, new.known_use_cases) = (table, open, names);
+        (terms.use_cases, new.use_cases, new.known_use_cases) = (table, open, known);
         let own_zone = new.zones.get(terms.zone as usize).cloned();
         (new.zones, new.kinds) = (std::mem::take(&mut self.zones), std::mem::take(&mut self.kinds));
         if let Some(zone) = own_zone {
@@ -135,10 +150,17 @@
             let wrong = || format!("field '{name}' holds what is no text");
             list(settings, name)?.iter().map(|entry| word(entry).ok_or_else(wrong)).collect()
         };
+        let source = text(part(settings, "report")?, "source")?;
+        if source == "on_probe" && !terms.loads_probed {
+            return Err(
+                "in 'settings': 'report.source' is 'on_probe', and 'caps.probes' is not allowed".into()
+            );
+        }
         let zones = words("dcs")?;
         if terms.zone as usize >= zones.len() {
             return Err(format!("in 'settings': field 'zone' is {} of {}", terms.zone, zones.len()));
         }
+        let effects: Vec<Effect> = terms.use_cases.iter().map(|use_case| use_case.effect).collect();
         let place = Self {
             name: named(told, variables, "name")?,
             listen: address(told, variables, "listen")?,
@@ -150,8 +172,8 @@
             messages_most: memory
                 .map_or(usize::MAX, |mb| (mb.saturating_mul(MEBIBYTE) / MESSAGES_PART) as usize),
             use_cases: names(settings, "useCases")?,
-            known_use_cases: names(settings, "useCases")?,
-            effects: terms.use_cases.iter().map(|use_case| use_case.effect).collect(),
+            known_use_cases: names(settings, "useCases")?.into_iter().zip(effects.clone()).collect(),
+            effects,
             accounts: match optional(settings, "accounts", Value::as_array)? {
                 Some(_) => names(settings, "accounts")?,
                 None => Vec::new(),
@@ -162,7 +184,7 @@
             connect_timeout: whole(caps, "connectTimeoutUs")?,
             drain_grace: whole(part(settings, "rules")?, "drainGraceUs")?,
             ask_within: terms.ask_within,
-            loads_told: text(part(settings, "report")?, "source")? == "inline",
+            loads_told: source == "inline",
             probe_path: probe_path(told, &terms)?,
             peers: peers(told, &terms)?,
             own_number: terms.own_number,
@@ -171,6 +193,23 @@
     }
 }
 
+/// What holds for a ticket that was taken under one effect and may be repeated under another. Groups of two kinds
+/// need not lie in each other, so nothing of both is left.
+fn stricter(one: Effect, other: Effect) -> Effect {
+    match (one, other) {
+        (Effect::Redoable, other) | (other, Effect::Redoable) => other,
+        (Effect::Labelled { group, window }, Effect::Labelled { group: others, window: other }) => {
+            let window = window.min(other);
+            match (group, others) {
+                (Group::All, group) | (group, Group::All) => Effect::Labelled { group, window },
+                (group, others) if group == others => Effect::Labelled { group, window },
+                _ => Effect::Irreversible,
+            }
+        }
+        _ => Effect::Irreversible,
+    }
+}
+
 /// Where loads are told to probes only, the file has to say at which path.
 fn probe_path(told: &Value, terms: &Terms) -> Decoded<Option<String>> {
     let path = optional(told, "probe_path", Value::as_str)?;
@@ -193,6 +232,9 @@
             false => Ok(Vec::new()),
         };
     };
+    if (1..named.len()).any(|n| named[..n].contains(&named[n])) {
+        return Err("field 'peers' names an address twice".into());
+    }
     if named.len() != terms.balancers {
         return Err(format!("field 'peers' names {} balancers of {}", named.len(), terms.balancers));
     }
--- a/node/src/life/place/tests.rs
+++ b/node/src/life/place/tests.rs
@@ -29,6 +29,8 @@
 #[case("/probe_path", json!("/a\r\nX: y"), "field 'probe_path' is '/a\r\nX: y', no path")]
 #[case("/peers", json!(null), "field 'peers' is missing, and balancers may send messages")]
 #[case("/peers", json!(["127.0.0.1:1"]), "field 'peers' names 1 balancers of 2")]
+#[case("/peers", json!(["127.0.0.1:1", "127.0.0.1:1"]), "field 'peers' names an address twice")]
+#[case("/settings/caps/probes", json!(false), "in 'settings': 'report.source' is 'on_probe', and 'caps.probes' is not allowed")]
 #[case("/peers", json!(["127.0.0.1:1", 7]), "field 'peers' holds 7, no address and port")]
 #[case("/settings/zone", json!(2), "in 'settings': field 'zone' is 2 of 2")]
 #[case("/settings/report/source", json!("odd"), "in 'settings': field 'source' holds unknown 'odd'")]
@@ -73,3 +75,37 @@
     told["limits"]["memory_mb"] = memory;
     assert_eq!(decoded(&told, &Variables::new(), 1024).unwrap().messages_most, most);
 }
+
+const fn labelled(group: Group, window: Micros) -> Effect {
+    Effect::Labelled { group, window }
+}
+
+#[rstest]
+#[case::redoable(Effect::Redoable, labelled(Group::Cell, 5), labelled(Group::Cell, 5))]
+#[case::irreversible(labelled(Group::All, 5), Effect::Irreversible, Effect::Irreversible)]
+#[case::shorter_window(labelled(Group::Cell, 5), labelled(Group::Cell, 3), labelled(Group::Cell, 3))]
+#[case::smaller_group(labelled(Group::All, 5), labelled(Group::Zone, 9), labelled(Group::Zone, 5))]
+#[case::groups_apart(labelled(Group::Zone, 5), labelled(Group::Cell, 5), Effect::Irreversible)]
+fn repeats_keep_to_the_stricter(#[case] one: Effect, #[case] other: Effect, #[case] both: Effect) {
+    assert_eq!((stricter(one, other), stricter(other, one)), (both, both));
+}
+
+/// A ticket may be open under the old effect; told back again, the old one holds for it as before.
+#[test]
+fn a_use_case_told_otherwise_is_another_and_its_open_tickets_keep_to_both() {
+    let told = told("127.0.0.1:1", "127.0.0.1:2");
+    let decode = |told: &Value| Place::decode(told, &Variables::new(), 1024).unwrap();
+    let (mut place, terms) = decode(&told);
+    let mut changed = told.clone();
+    changed["settings"]["useCases"][1]["effect"] = json!("unsafe");
+    let (new, new_terms) = decode(&changed);
+    let after = place.renew(new, new_terms, &terms).unwrap();
+    let effects: Vec<_> =
+        after.use_cases.iter().map(|use_case| (use_case.effect, use_case.earnings)).collect();
+    assert_eq!(effects[1..], [(Effect::Irreversible, 0.0), (Effect::Irreversible, 1.0)]);
+    assert_eq!(place.use_cases, ["pay", "", "look"]);
+    let (old, old_terms) = decode(&told);
+    let back = place.renew(old, old_terms, &after).unwrap();
+    assert_eq!((back.use_cases[1].effect, back.use_cases.len()), (Effect::Redoable, 3));
+    assert_eq!(place.use_cases, ["pay", "look", ""]);
+}
--- a/node/src/life/reread.rs
+++ b/node/src/life/reread.rs
@@ -24,9 +24,15 @@
             let own = place.peers.get(place.own_number).copied();
             let ear = Ear::moved(desk.ear.as_ref(), &desk.handle, own)
                 .map_err(|problem| format!("cannot hear other balancers at {own:?}: {problem}"))?;
+            let kept = desk.place.kept_of(&place);
             let renewed = desk.place.renew(place, terms, self.balancer.terms());
             match renewed {
-                Ok(_) => desk.hear_at(ear),
+                Ok(_) => {
+                    desk.hear_at(ear);
+                    if !kept.is_empty() {
+                        warn!(desk.log, "waits for the next start"; "fields" => kept.join(","));
+                    }
+                }
                 Err(_) => ear.into_iter().for_each(|ear| ear.close(&desk.handle)),
             }
             renewed
--- a/node/src/life/reread/tests.rs
+++ b/node/src/life/reread/tests.rs
@@ -1,4 +1,10 @@
 use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use calloop::signals::Signal;
 
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -113,7 +119,8 @@
     }
     let desk = stand.node.desk.borrow();
     assert_eq!((desk.counters.settings_changed, desk.counters.rereads_failed), (6, 0));
-    assert_eq!(desk.place.known_use_cases, ["pay", "look", "swap", "status"]);
+    let known: Vec<_> = desk.place.known_use_cases.iter().map(|known| known.0.as_str()).collect();
+    assert_eq!(known, ["pay", "look", "swap", "status"]);
     assert!(desk.tickets.contains_key(ticket), "a ticket under way is untouched");
     drop(desk);
     say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
@@ -144,3 +151,152 @@
         (&before, &["pay".to_owned(), "look".to_owned()][..])
     );
 }
+
+/// How often each ticket ran at the upstreams, by its id.
+type Runs = Arc<Mutex<HashMap<String, usize>>>;
+
+/// A message as far as its body; nothing once the other side has gone.
+fn whole(stream: &mut BufReader<TcpStream>) -> Option<(String, String)> {
+    let (mut head, mut length) = (String::new(), 0);
+    while !head.ends_with("\r\n\r\n") {
+        let from = head.len();
+        if stream.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+        let line = head[from..].to_ascii_lowercase();
+        length = line.strip_prefix("content-length: ").map_or(length, |text| text.trim().parse().unwrap());
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some((head, String::from_utf8(body).unwrap()))
+}
+
+/// Upstreams on threads of their own: they tell their load to probes, and each fifth ticket takes a while.
+fn upstreams(runs: &Runs) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, runs) = (listener.local_addr().unwrap(), Arc::clone(runs));
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let runs = Arc::clone(&runs);
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Some((head, _)) = whole(&mut reader) {
+                    if let Some(id) = head.split("X-Txn: ").nth(1).and_then(|rest| rest.split('\r').next()) {
+                        *runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
+                        if id.ends_with('5') {
+                            std::thread::sleep(Duration::from_millis(20));
+                        }
+                    }
+                    say(
+                        &stream,
+                        "HTTP/1.1 200 OK\r\nX-Pressure: inflight=0, queue=0\r\nContent-Length: 2\r\n\r\nok",
+                    );
+                }
+            });
+        }
+    });
+    address
+}
+
+/// A client that asks for all use cases in turn, and how each ticket was answered.
+fn client(balancer: SocketAddr, name: usize, answered: &Arc<Mutex<Vec<(String, String)>>>) {
+    let answered = Arc::clone(answered);
+    std::thread::spawn(move || {
+        let mut open = None;
+        for n in 0..TICKETS {
+            let (lane, method) = [("pay", "POST"), ("swap", "POST"), ("status", "GET")][n % 3];
+            let id = format!("{lane}-{name}-{n}");
+            let body =
+                if method == "POST" { "Idempotency-Key: k\r\nContent-Length: 1\r\n\r\nx" } else { "\r\n" };
+            let text = format!(
+                "{method} /{lane}/1 HTTP/1.1\r\nHost: a\r\nX-Txn: {id}\r\nX-Remaining-Ms: 2000\r\n{body}"
+            );
+            let answer = loop {
+                let stream =
+                    open.get_or_insert_with(|| BufReader::new(TcpStream::connect(balancer).unwrap()));
+                _ = stream.get_ref().write_all(text.as_bytes());
+                match whole(stream) {
+                    Some((head, _)) => {
+                        if head.contains("Connection: close") {
+                            open = None;
+                        }
+                        break head.split(' ').nth(1).unwrap().to_owned();
+                    }
+                    // It closed between tickets: as clients do, once more on a new connection.
+                    None => open = None,
+                }
+            };
+            answered.lock().unwrap().push((id, answer));
+        }
+    });
+}
+
+const CLIENTS: usize = 6;
+const TICKETS: usize = 60;
+
+/// Settings change under load, again and again: every ticket is answered exactly once, no irreversible one runs
+/// twice, and what was dismissed with a promise never ran.
+#[rstest]
+#[case::there_and_back(|_: &mut Stand, _: SocketAddr| {})]
+#[case::during_a_drain(|stand: &mut Stand, at: SocketAddr| stand.list(&[entry("s1", at, "leaving")]))]
+fn settings_change_under_load(#[case] trouble: fn(&mut Stand, SocketAddr)) {
+    let mut stand = Stand::new();
+    let (runs, answered) = (Runs::default(), Arc::new(Mutex::new(Vec::new())));
+    let at = upstreams(&runs);
+    stand.list(&["s1", "s2", "s3", "s4", "s5", "s6"].map(|id| entry(id, at, "active")));
+    let other = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let own = std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let address = stand.discovery.local_addr().unwrap().to_string();
+    let [old, mut new] = [0, 1].map(|_| told("127.0.0.1:0", &address));
+    moved(&mut new, &[own, other.local_addr().unwrap()]);
+    (0..CLIENTS).for_each(|name| client(stand.address, name, &answered));
+    for (round, told) in [&new, &old, &new, &old, &new].into_iter().enumerate() {
+        let enough = (round + 1) * CLIENTS * TICKETS / 6;
+        stand.until(|_| (answered.lock().unwrap().len() >= enough).then_some(()));
+        if round == 2 {
+            trouble(&mut stand, at);
+        }
+        let path = file(&format!("load-{round}-{}", own.port()), &told.to_string());
+        stand.node.reread(Some(&path), &variables());
+        std::fs::remove_file(path).unwrap();
+    }
+    stand.until(|_| (answered.lock().unwrap().len() == CLIENTS * TICKETS).then_some(()));
+    let (answered, runs) = (answered.lock().unwrap(), runs.lock().unwrap());
+    for (id, answer) in answered.iter() {
+        let ran = runs.get(id).copied().unwrap_or(0);
+        match answer.as_str() {
+            "200" => assert!(ran >= 1, "{id}"),
+            "503" | "404" => assert!(ran == 0 || id.starts_with("status"), "{id} {answer} ran {ran} times"),
+            "502" => {}
+            other => panic!("{id} was answered {other}"),
+        }
+        assert!(ran <= 1 || !id.starts_with("swap"), "{id} ran {ran} times");
+    }
+    let served = |lane: &str| answered.iter().filter(|(id, a)| id.starts_with(lane) && a == "200").count();
+    assert!(served("pay") > 0 && served("swap") > 0 && served("status") > 0);
+    let desk = stand.node.desk.borrow();
+    assert_eq!((desk.counters.settings_changed, desk.tickets.len()), (5, 0));
+}
+
+/// Told to stop, a balancer still answers what it has, under whichever settings.
+#[test]
+fn a_switch_during_a_stop_loses_nothing() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let (client, _) = stand.dispatched("t1", "s1", 5_000_000);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    stand.node.signalled(Signal::SIGTERM);
+    let other = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let own = std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut new = told("127.0.0.1:0", &stand.discovery.local_addr().unwrap().to_string());
+    moved(&mut new, &[own, other.local_addr().unwrap()]);
+    let path = file(&format!("stop-{}", own.port()), &new.to_string());
+    stand.node.reread(Some(&path), &variables());
+    std::fs::remove_file(path).unwrap();
+    assert!(!stand.node.over);
+    say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    stand.heard(&client, "ok");
+    drop(client);
+    stand.until(|node| node.over.then_some(()));
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -271,9 +271,8 @@
 
     /// What came of a probe.
     pub fn probed(&mut self, now: Micros, id: &str, answered: bool) {
-        if let Some(&u) = self.by_id.get(id) {
-            self.heard(now, u, answered);
-        }
+        let known = self.by_id.get(id).copied();
+        known.into_iter().for_each(|u| self.heard(now, u, answered));
     }
 
     /// Places a ticket among those that answered, as far as they would be in time; else it waits a little.
@@ -466,7 +465,7 @@
         ticket.dispatches.push(Dispatch { rested, before, ..Dispatch::new(u, now, scene) });
         let id = Rc::clone(&upstream.id);
         // Where a dispatch can be neither joined nor called off, it ends by itself in time for another.
-        let lone = !self.terms.second_copies && !self.terms.may_call_off && self.redone(ticket);
+        let lone = !self.copies(ticket) && !self.terms.may_call_off && self.redone(ticket);
         let spare = ticket.promised.saturating_sub(now) as f64;
         let share = self.upstreams[u].lost.min(100) as f64 / 100.0;
         let least = spare * (LONE.1 - LONE.2 * share).max(LONE.0);
@@ -499,8 +498,8 @@
         let upstream = &self.upstreams[u];
         let open = now < ticket.hard_stop
             && !ticket.streaming
-            && ticket.dispatches.len() < self.terms.most_dispatches
-            && (self.terms.second_copies || ticket.dispatches.iter().all(|d| !d.out));
+            && ticket.dispatches.len() < self.terms.most_dispatches.min(ticket.most_dispatches)
+            && (self.copies(ticket) || ticket.dispatches.iter().all(|d| !d.out));
         let mut ran = ticket.dispatches.iter().filter(|d| d.may_have_run);
         let again = match self.terms.use_cases[ticket.use_case].effect {
             Effect::Redoable => true,
@@ -746,7 +745,7 @@
             let in_time = now + self.expected(ticket.use_case) as Micros / 2 < ticket.promised;
             if in_time && self.redone(&ticket) && !ticket.streaming {
                 match self.may_spend_more(now) {
-                    true if !self.terms.second_copies => self.call_off(&ticket, number),
+                    true if !self.copies(&ticket) => self.call_off(&ticket, number),
                     true if self.place(now, &mut ticket) => {}
                     _ => self.watch(&ticket, number, PUMP_EVERY),
                 }
@@ -866,6 +865,7 @@
 
     /// Takes in how a dispatch ended.
     fn ended(&mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros) {
+        let copies = self.copies(ticket);
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else { return };
         let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
         dispatch.out = false;
@@ -875,7 +875,7 @@
         upstream.used = Some(now);
         let (u, rested) = (dispatch.upstream, dispatch.rested);
         // Called off as overdue to make way for another dispatch, it was silent.
-        let replaced = ending == Ending::CalledOff && dispatch.overdue && !self.terms.second_copies;
+        let replaced = ending == Ending::CalledOff && dispatch.overdue && !copies;
         let ending = if replaced { Ending::Silent } else { ending };
         let fate = match ending {
             Ending::Succeeded => Fate::Passed,
--- a/src/known.rs
+++ b/src/known.rs
@@ -115,6 +115,9 @@
     pub(crate) work: f64,
     pub(crate) within_share: bool,
     pub(crate) streaming: bool,
+    /// What the terms that it was taken under allow: dispatches, and two out at once. The stricter ones hold.
+    pub(crate) most_dispatches: usize,
+    pub(crate) second_copies: bool,
     pub(crate) dispatches: Vec<Dispatch>,
     /// Upstreams asked for their load that have not answered, and those that have.
     pub(crate) waits: Vec<usize>,
@@ -140,6 +143,8 @@
             work,
             within_share,
             streaming,
+            most_dispatches: usize::MAX,
+            second_copies: true,
             dispatches,
             waits,
             asks: 0,
@@ -263,9 +268,16 @@
 }
 
 impl<H: Host> Balancer<H> {
-    /// New terms hold from now on; tickets that are open go on under the use cases they came with. Use cases keep
-    /// their numbers: those of before stand first, as they were or earning 0 where clients can't ask for them now.
+    /// New terms hold from now on. Open tickets keep their use case and promised time, and of dispatches and second
+    /// copies what the stricter terms allow. Use cases keep their numbers: those of before stand first, as they
+    /// were, stricter, or earning 0 where clients can't ask for them now.
     pub fn terms_changed(&mut self, terms: Terms) {
+        let (most, copies) = (self.terms.most_dispatches, self.terms.second_copies);
+        let waiting = self.held.iter_mut().chain(&mut self.asking);
+        for ticket in waiting.chain(self.tickets.values_mut()) {
+            ticket.most_dispatches = ticket.most_dispatches.min(most);
+            ticket.second_copies &= copies;
+        }
         self.paces.resize(terms.use_cases.len(), Pace::default());
         for upstream in &mut self.upstreams {
             upstream.fares.resize(terms.use_cases.len(), Fare::default());
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -116,6 +116,11 @@
         listed.unwrap_or(1.0)
     }
 
+    /// Whether two dispatches of a ticket may be out: under the terms now, and those that it was taken under.
+    pub(crate) fn copies(&self, ticket: &Ticket) -> bool {
+        self.terms.second_copies && ticket.second_copies
+    }
+
     /// Which balancer keeps the book of an upstream: all know without a word.
     pub(crate) fn keeper(&self, u: usize) -> usize {
         (mixed(self.upstreams[u].hash, 0) % self.terms.balancers as u64) as usize
