--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -710,3 +710,118 @@
     // A quarter of a second: four asked each 80 ms, and not each 20.
     assert!(diary.count("tell") <= 16 && diary.count("dispatch") == 0, "{}", diary.count("tell"));
 }
+
+/// One long ticket, and nothing more would be sent that could tell better.
+#[rstest]
+fn one_long_answer_does_not_close_a_quiet_balancer() {
+    let (mut balancer, diary) = asking(Effect::Redoable, true);
+    balancer.seen.each.add(START_AT, LASTING, 450.0 * MS as f64, 1.0);
+    let now = START_AT + 30_000 * MS;
+    arrive(&mut balancer, now, "a");
+    (0..4).for_each(|u| holds(&mut balancer, now + MS, u, 0));
+    assert_eq!(diary.count("dispatch"), 1);
+}
+
+/// What earns little waits only a part of its time, so that what earns much finds room.
+#[rstest]
+#[case::earns_most(8.0, true, true)]
+#[case::earns_little(1.0, true, false)]
+#[case::beyond_its_share(8.0, false, false)]
+fn earnings_bound_the_wait(#[case] earnings: f64, #[case] within_share: bool, #[case] in_time: bool) {
+    let (mut balancer, _) = asking(Effect::Redoable, true);
+    let most = UseCase { promised_time: 400 * MS, effect: Effect::Redoable, earnings: 8.0 };
+    balancer.terms.use_cases = vec![UseCase { earnings, ..most.clone() }, most];
+    balancer.terms_changed(balancer.terms.clone());
+    balancer.seen.each.add(START_AT, LASTING, 60.0 * MS as f64, 1e6);
+    balancer.upstreams[1].held = Some(3.0);
+    balancer.paces[0].hint.add(START_AT, LASTING, 60.0, 1.0);
+    let waiting = Ticket { within_share, ..ticket(&[], false) };
+    assert_eq!(balancer.in_time(START_AT, &waiting, 1), in_time);
+}
+
+/// Quiet balancers see no loss themselves: the keeper tells it, and a lone dispatch leaves time for another.
+#[rstest]
+#[case::none_lost(0, 340)]
+#[case::a_quarter_lost(25, 190)]
+fn a_lone_dispatch_waits_less_where_answers_are_lost(#[case] lost: u64, #[case] until: u64) {
+    let (mut balancer, _) = asking(Effect::Redoable, false);
+    balancer.terms.may_call_off = false;
+    balancer.paces[0].present.add(START_AT, RECENT, 50.0 * MS as f64, 1.0);
+    let (keeper, short) = (balancer.keeper(0), balancer.upstreams[0].short());
+    balancer.told(START_AT, keeper, &format!("= {short:x} 0 {lost:x}"));
+    balancer.send(START_AT, &mut ticket(&[], false), 0, None);
+    let told =
+        balancer.host.0.borrow().iter().find_map(|act| act.split(" until ").nth(1)?.parse::<u64>().ok());
+    assert_eq!(told.map(|told| told / MS), Some(until));
+}
+
+/// A cold upstream's budget is shared out by balancer, and most of it would be left unused.
+#[rstest]
+#[case::idle(0, 0, true)]
+#[case::much_held(40, 0, false)]
+#[case::told_long_ago(0, 1_000, false)]
+fn a_cold_upstream_that_told_is_open_to_all(#[case] held: u64, #[case] ago: u64, #[case] open: bool) {
+    let (mut balancer, _) = asking(Effect::Redoable, false);
+    balancer.upstreams[1].launched = START_AT - 5_000 * MS;
+    balancer.warm = 3;
+    holds(&mut balancer, START_AT, 1, held);
+    let now = START_AT + ago * MS;
+    assert_eq!((balancer.cold_room(now, 1), balancer.permitted(now, &ticket(&[], false), 1)), (open, open));
+}
+
+/// Hearsay about an upstream counts from the balancer that keeps its book.
+#[rstest]
+#[case("=", "7 0")]
+#[case("!", "0 3d0900")]
+fn only_its_keeper_tells_of_an_upstream(#[case] what: &str, #[case] more: &str) {
+    let (mut balancer, _) = asking(Effect::Redoable, false);
+    let (keeper, short) = (balancer.keeper(2), balancer.upstreams[2].short());
+    let told = |balancer: &Balancer<Diary>| {
+        (balancer.upstreams[2].held, balancer.upstreams[2].fares[0].shunned_until)
+    };
+    balancer.told(START_AT, keeper + 1, &format!("{what} {short:x} {more}"));
+    assert_eq!(told(&balancer), (None, 0));
+    balancer.told(START_AT, keeper, &format!("{what} {short:x} {more}"));
+    assert_ne!(told(&balancer), (None, 0));
+}
+
+/// Where messages are not allowed, one is a broken rule of the wire.
+#[rstest]
+fn without_leave_nothing_is_told() {
+    let (mut balancer, diary) = balancer(Effect::Redoable, 4);
+    (balancer.terms.balancers, balancer.terms.second_copies) = (1, false);
+    for n in 0..20 {
+        let mut sent = ticket(&[1], true);
+        (sent.dispatches[0].out, sent.dispatches[0].rested) = (true, Some(5_000 * MS));
+        balancer.ended(START_AT + n * MS, &mut sent, 0, Ending::Broken, 1);
+    }
+    assert_eq!(diary.count("tell"), 0);
+}
+
+/// Called off to make way for another dispatch, it kept its ticket waiting: the upstream is not free of blame.
+#[rstest]
+fn a_dispatch_called_off_as_overdue_was_silent() {
+    let (mut balancer, _) = balancer(Effect::Redoable, 4);
+    balancer.terms.second_copies = false;
+    let mut sent = ticket(&[1], true);
+    (sent.dispatches[0].out, sent.dispatches[0].overdue) = (true, true);
+    balancer.ended(START_AT, &mut sent, 0, Ending::CalledOff, 300 * MS);
+    assert!(balancer.upstreams[1].failed.sum > 0.0);
+}
+
+/// Taken under terms without second copies, a ticket has never two out, whatever holds later.
+#[rstest]
+fn open_tickets_keep_to_the_stricter_terms() {
+    let (mut balancer, _) = balancer(Effect::Redoable, 4);
+    (balancer.terms.second_copies, balancer.terms.most_dispatches) = (false, 2);
+    let mut open = ticket(&[0], true);
+    open.dispatches[0].out = true;
+    balancer.tickets.insert(Rc::clone(&open.id), open);
+    balancer.terms_changed(Terms { second_copies: true, most_dispatches: 5, ..balancer.terms.clone() });
+    let mut open = balancer.tickets.remove("t").unwrap();
+    assert!(!balancer.permitted(START_AT + MS, &open, 1));
+    open.dispatches[0].out = false;
+    assert!(balancer.permitted(START_AT + MS, &open, 1));
+    open.dispatches.push(Dispatch { out: false, ..Dispatch::new(1, START_AT, None) });
+    assert!(!balancer.permitted(START_AT + MS, &open, 2));
+}
