--- a/src/decide.rs
+++ b/src/decide.rs
@@ -95,7 +95,7 @@
 /// What an upstream that holds nothing counts as holding: with one core, and with several (weights listed).
 const IDLE: (f64, f64) = (0.2, 0.5);
 const ASK_PART: Micros = 20;
-const ASK_AGAIN: (Micros, usize, Micros) = (14, 3, 4); // after, times at most, waits that loads stand
+const ASK_AGAIN: (Micros, usize, Micros) = (14, 2, 4); // after, times at most, waits that loads stand
 /// In place of a dispatch's number, for a ticket that asks.
 const ASKING: usize = usize::MAX;
 /// Part of its time that a ticket that earns nothing may take; one that earns most may take all.
