--- a/src/decide.rs
+++ b/src/decide.rs
@@ -297,9 +297,8 @@
         let worth = if ticket.within_share { earnings } else { 0.0 };
         let part = WORTHLESS_PART + (1.0 - WORTHLESS_PART) * worth;
         // With no hint of its work a ticket may be one of the long ones; once sent there is less to lose.
-        let pace = Some(&self.paces[ticket.use_case]).filter(|pace| pace.hint.read().is_none());
-        let scatter =
-            pace.filter(|_| ticket.dispatches.is_empty()).map_or(0.0, |pace| pace.scatter().min(2.0));
+        let unsent = ticket.dispatches.is_empty();
+        let scatter = if unsent { self.paces[ticket.use_case].margin() } else { 0.0 };
         each * held * (1.0 + scatter) <= part * (spare - each * ticket.work * (1.0 + scatter))
     }
 
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -825,3 +825,14 @@
     open.dispatches.push(Dispatch { out: false, ..Dispatch::new(1, START_AT, None) });
     assert!(!balancer.permitted(START_AT + MS, &open, 2));
 }
+
+/// Started or switched before a busy fleet, with no hints of work, a balancer that sends nothing learns nothing.
+#[rstest]
+#[case::by_probes(true)]
+#[case::by_books(false)]
+fn a_balancer_that_has_heard_nothing_sends(#[case] probed: bool) {
+    let (mut balancer, diary) = asking(Effect::Irreversible, probed);
+    arrive(&mut balancer, START_AT, "a");
+    (0..4).for_each(|u| holds(&mut balancer, START_AT + MS, u, 2));
+    assert_eq!(diary.count("dispatch"), 1);
+}
--- a/src/known.rs
+++ b/src/known.rs
@@ -170,6 +170,13 @@
         let known = self.squares.read().zip(self.lasting.read());
         known.map_or(f64::INFINITY, |(squares, mean)| (squares / (mean * mean) - 1.0).max(0.0).sqrt())
     }
+
+    /// The scatter to reckon with where no hint tells the work, twice the usual at most. Before an answer was heard
+    /// none: a new balancer would else never send and never learn.
+    pub(crate) fn margin(&self) -> f64 {
+        let unhinted = self.hint.read().is_none() && self.lasting.read().is_some();
+        if unhinted { self.scatter().min(2.0) } else { 0.0 }
+    }
 }
 
 /// What is seen of the fleet and of the traffic as a whole.
