Copies and call-offs of overdue dispatches are out, and patience with them

A further dispatch after an overdue one is answered in time less often than it keeps a place from another ticket, and blames an upstream that was only behind (close(): number < answered counted as silent).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -52,13 +52,12 @@
 /// A failure counts as an answer this many times as late as usual, or as late as it was.
 const FAILURE_LATENCY: f64 = 3.0;
 
-/// Patience in expected answer times: one and so many standard deviations, within bounds.
-const SCATTER: f64 = 3.0;
-const PATIENCE: (f64, f64) = (3.0, 4.0);
 /// Further dispatches as a share of tickets when all recent ones succeeded, and some that are always open.
 const FURTHER: (f64, f64) = (0.3, 2.0);
 /// Parts of its time that a dispatch which nothing can join or end waits, and how much less where some fail.
 const LONE: (f64, f64, f64) = (0.45, 0.85, 1.5);
+/// Expected answer times that it waits at least.
+const LONE_LEAST: f64 = 3.0;
 
 /// In flight against what the shortest answer times would need, and what all may always have at an upstream.
 const STRETCH: f64 = 1.5;
@@ -472,12 +471,10 @@
         let spare = ticket.promised.saturating_sub(now) as f64;
         let share = self.upstreams[u].lost.min(100) as f64 / 100.0;
         let least = spare * (LONE.1 - LONE.2 * share).max(LONE.0);
-        let usual = PATIENCE.0 * self.expected(ticket.use_case);
-        let lone_patience = usual.max(least).min(LONE.1 * spare).max(PUMP_EVERY as f64);
-        let patience = if lone { lone_patience as Micros } else { self.patience(now, ticket, u) };
+        let usual = LONE_LEAST * self.expected(ticket.use_case);
+        let patience = usual.max(least).min(LONE.1 * spare).max(PUMP_EVERY as f64) as Micros;
         let expire_at = if lone { (now + patience).min(ticket.hard_stop) } else { ticket.hard_stop };
         self.host.dispatch(&ticket.id, &id, expire_at);
-        self.set_alarm(patience, Alarm::Dispatch(Rc::clone(&ticket.id), ticket.dispatches.len() - 1));
         self.tell_keeper(now, u, None);
         true
     }
@@ -605,10 +602,6 @@
                     let ticket = at.map(|at| self.asking.remove(at));
                     ticket.into_iter().for_each(|ticket| self.place_asked(now, ticket));
                 }
-                Some(Alarm::Dispatch(id, number)) => {
-                    let ticket = self.tickets.remove(&id);
-                    ticket.into_iter().for_each(|ticket| self.patience_ran_out(now, ticket, number));
-                }
                 Some(Alarm::Line(key)) => self.move_line(now, key),
                 None => {}
             },
@@ -740,33 +733,6 @@
         further < FURTHER.1 + FURTHER.0 * succeeded * self.seen.arrivals.read(now, LASTING)
     }
 
-    /// How long to wait for this dispatch alone, while a further one could follow in time.
-    fn patience(&self, now: Micros, ticket: &Ticket, u: usize) -> Micros {
-        let expected = self.expected(ticket.use_case);
-        let usual = expected.max(self.upstreams[u].shortest.unwrap_or(0.0)) * ticket.work.max(1.0);
-        let last = ticket.promised.saturating_sub(now) as f64 - expected;
-        let patience =
-            usual * (1.0 + SCATTER * self.paces[ticket.use_case].scatter()).clamp(PATIENCE.0, PATIENCE.1);
-        patience.min(if last > usual { last } else { f64::INFINITY }) as Micros
-    }
-
-    /// Nothing came for long: the dispatch is overdue, and a copy goes elsewhere once there is room.
-    fn patience_ran_out(&mut self, now: Micros, mut ticket: Ticket, number: usize) {
-        if let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) {
-            self.upstreams[dispatch.upstream].miss(dispatch, ticket.work);
-            let in_time = now + self.expected(ticket.use_case) as Micros / 2 < ticket.promised;
-            if in_time && self.redone(&ticket) && !ticket.streaming {
-                match self.may_spend_more(now) {
-                    true if !self.copies(&ticket) => self.call_off(&ticket, number),
-                    true if self.place(now, &mut ticket) => {}
-                    _ => self.set_alarm(PUMP_EVERY, Alarm::Dispatch(Rc::clone(&ticket.id), number)),
-                }
-            }
-        }
-        self.tickets.insert(Rc::clone(&ticket.id), ticket);
-        self.pump(now);
-    }
-
     /// What an upstream may hold of ours: what its served rate needs × shortest ÷ present answer time.
     fn limit(&self, now: Micros, u: usize) -> f64 {
         let upstream = &self.upstreams[u];
@@ -779,13 +745,13 @@
     fn has_room(&self, now: Micros, u: usize) -> bool {
         let up = &self.upstreams[u];
         up.full_until <= now
-            && (self.asks() || up.places() == 0.0 || up.places() + ROUNDING < self.limit(now, u))
+            && (self.asks() || up.in_flight as f64 == 0.0 || up.in_flight as f64 + ROUNDING < self.limit(now, u))
     }
 
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
     fn pool_has_room(&self, now: Micros) -> bool {
         let known = || self.order.iter().filter(|&&u| !self.upstreams[u].suspected);
-        let held: f64 = known().map(|&u| self.upstreams[u].places()).sum();
+        let held: f64 = known().map(|&u| self.upstreams[u].in_flight as f64).sum();
         let mut limit = 0.0;
         // Limits only add up: once there is room the others need not be looked at.
         held < LEAST.1
@@ -877,18 +843,14 @@
 
     /// Takes in how a dispatch ended.
     fn ended(&mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros) {
-        let copies = self.copies(ticket);
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else { return };
         let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
         let upstream = &mut self.upstreams[dispatch.upstream];
-        upstream.end(dispatch, ticket.work);
+        upstream.release(ticket.work);
         upstream.used = Some(now);
         let (u, rested) = (dispatch.upstream, dispatch.rested);
-        // Called off as overdue to make way for another dispatch, it was silent.
-        let replaced = ending == Ending::CalledOff && dispatch.overdue && !copies;
-        let ending = if replaced { Ending::Silent } else { ending };
         let fate = match ending {
             Ending::Succeeded => Fate::Passed,
             Ending::CalledOff | Ending::NeverSent | Ending::TurnedAway => Fate::Neither,
@@ -930,7 +892,6 @@
         }
         let mut payoff = 0.0;
         if ending == Ending::Succeeded {
-            upstream.overdue.retain(|sent| *sent >= dispatch.sent);
             upstream.left = None;
             if upstream.suspected {
                 upstream.failed.sum *= 0.5;
--- a/src/known.rs
+++ b/src/known.rs
@@ -35,11 +35,9 @@
     pub(crate) left: Option<Micros>,
     pub(crate) weight: Mean,
     pub(crate) launched: Micros,
-    /// Dispatches that are out, less those overdue.
+    /// Dispatches that are out.
     pub(crate) in_flight: usize,
     pub(crate) work_in_flight: f64,
-    /// When those overdue were sent, as far as nothing sent later has succeeded.
-    pub(crate) overdue: Vec<Micros>,
     pub(crate) answers: Mean,
     pub(crate) lasting_answers: Mean,
     pub(crate) shortest: Option<f64>,
@@ -91,8 +89,6 @@
 
 /// What an alarm was set for.
 pub(crate) enum Alarm {
-    /// A dispatch of a ticket, which may be overdue.
-    Dispatch(Rc<str>, usize),
     /// A ticket that asked.
     Asked(Rc<str>),
     /// Whoever stands in the line of a key.
@@ -117,7 +113,6 @@
     pub(crate) upstream: usize,
     pub(crate) sent: Micros,
     pub(crate) out: bool,
-    pub(crate) overdue: bool,
     pub(crate) may_have_run: bool,
     /// How long its connection had rested, and what the upstream held then, where that is known.
     pub(crate) rested: Option<Micros>,
@@ -128,7 +123,7 @@
 impl Dispatch {
     pub(crate) fn new(upstream: usize, sent: Micros, scene: Option<Scene>) -> Self {
         let (rested, before) = (None, None);
-        Self { upstream, sent, out: true, overdue: false, may_have_run: true, rested, before, scene }
+        Self { upstream, sent, out: true, may_have_run: true, rested, before, scene }
     }
 }
 
@@ -358,7 +353,7 @@
     /// ever new ones.
     pub(crate) fn forget_left(&mut self, now: Micros) {
         for upstream in &mut self.upstreams {
-            let out = upstream.places() > 0.0;
+            let out = upstream.in_flight > 0;
             upstream.ready &= upstream.left.is_none_or(|left| now < left + KNOWN_FOR);
             if !upstream.ready && !upstream.id.is_empty() && !out && upstream.met_until + KNOWN_FOR < now {
                 self.by_id.remove(&upstream.id);
@@ -405,28 +400,7 @@
         }
     }
 
-    /// A dispatch is overdue: it no longer counts as load, but takes up its place until a later one succeeds.
-    pub(crate) fn miss(&mut self, dispatch: &mut Dispatch, work: f64) {
-        if !std::mem::replace(&mut dispatch.overdue, true) {
-            self.overdue.push(dispatch.sent);
-            self.release(work);
-        }
-    }
-
-    pub(crate) fn end(&mut self, dispatch: &Dispatch, work: f64) {
-        if !dispatch.overdue {
-            self.release(work);
-        } else if let Some(place) = self.overdue.iter().position(|sent| *sent == dispatch.sent) {
-            self.overdue.swap_remove(place);
-        }
-    }
-
-    /// Places taken up: an overdue dispatch may be lost, or tell that the upstream is slow.
-    pub(crate) fn places(&self) -> f64 {
-        (self.in_flight + self.overdue.len()) as f64
-    }
-
-    fn release(&mut self, work: f64) {
+    pub(crate) fn release(&mut self, work: f64) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let left = (self.work_in_flight - work).max(0.0);
         self.work_in_flight = if self.in_flight == 0 { 0.0 } else { left };
