Use cases and accounts that drag at every upstream are kept out but for trials

More than half late of what the others leave (src/groups.rs) keeps a group out; one ticket each four promised times is let through, to see. What drags teaches nothing of upstreams.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,7 +23,9 @@
 pub(crate) mod tests;
 
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents.
-const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, -0.3];
+const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, -0.3, 3.0];
+/// Homes of a key, each with less pull than the last.
+const HOMES: usize = 3;
 /// Part of its start value that a weight keeps, and the inverse of how far it grows: none changes sign.
 const FLOOR: f64 = 0.4;
 /// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
@@ -188,7 +190,7 @@
         let within_share = self.within_share(now, account);
         let line = key.filter(|_| self.terms.use_cases[use_case].in_order);
         let ticket = Ticket::new(Rc::from(id), use_case, promised, hard_stop, work, within_share);
-        let ticket = Ticket { key, line, ..ticket };
+        let ticket = Ticket { account, key, line, ..ticket };
         let [late, heard] =
             [&self.seen.pressure.total, &self.seen.pressure.weight].map(|s| s.read(now, SECOND));
         let ease = 1.0 - (late + HEARD_PRIOR) / (heard + HEARD_PRIOR);
@@ -199,7 +201,7 @@
         let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + own.powi(4));
         // Beyond the share gives way first.
         let part = if within_share { let_through } else { 2.0 * let_through - 1.0 };
-        if self.chance.generate::<f64>() > part {
+        if self.chance.generate::<f64>() > part || self.kept_out(now, &ticket) {
             return self.give_up(now, ticket);
         }
         self.take_turn(now, ticket);
@@ -377,7 +379,7 @@
 
     /// Draws one of the candidates by the scoring function and sends the ticket there.
     fn draw(&mut self, now: Micros, ticket: &mut Ticket, ready: &[usize]) -> bool {
-        let rows = self.features(now, ready);
+        let rows = self.features(now, ready, &self.homes(ticket));
         let score = |row| softplus(dot(&self.weights, row));
         let mut scored: Vec<(f64, usize)> = rows.iter().map(score).zip(0..).collect();
         scored.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -399,7 +401,7 @@
 
     /// What the mechanism knows of each candidate. Ratios to the candidates' mean make one weight vector
     /// serve upstreams of any speed and fleets of any size; what was never heard is the others' mean, 0.
-    fn features(&self, now: Micros, ready: &[usize]) -> Vec<[f64; FEATURES]> {
+    fn features(&self, now: Micros, ready: &[usize], homes: &[usize]) -> Vec<[f64; FEATURES]> {
         let ups = &self.upstreams;
         let gather = |known: &dyn Fn(usize, &Upstream) -> Option<f64>| -> Vec<f64> {
             let each = ready.iter().enumerate().map(|(i, &u)| known(i, &ups[u]));
@@ -432,7 +434,8 @@
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
         let row = |(i, &u): (usize, &usize)| {
             let (busy, queue) = (busy[i] * fresh[i], queue[i] * fresh[i]);
-            [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), queue]
+            let home = homes.iter().position(|&home| home == u).map_or(0.0, |rank| 1.0 / (1.0 + rank as f64));
+            [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), queue, home]
         };
         ready.iter().enumerate().map(row).collect()
     }
@@ -655,11 +658,13 @@
         let heard = self.heard_within(now);
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
         let (mut ready, mut out, mut met, mut shunned) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        for at in 0..self.order.len() {
-            if ready.len() >= self.circle().0 {
+        let homes = self.homes(ticket);
+        let most = self.circle().0 + homes.len();
+        let others = self.order.iter().copied().filter(|u| !homes.contains(u));
+        for u in homes.iter().copied().chain(others).collect::<Vec<_>>() {
+            if ready.len() >= most {
                 break;
             }
-            let u = self.order[at];
             // Where balancers tell each other what they met, the books say more than a few own outcomes.
             let suspected = !self.asks() && self.suspect(now, u, heard, expected, usual);
             let up = &self.upstreams[u];
@@ -708,6 +713,15 @@
         (ready, trial)
     }
 
+    /// Where tickets of a key go before others: all balancers rank the upstreams alike by the key.
+    fn homes(&self, ticket: &Ticket) -> Vec<usize> {
+        let Some(key) = ticket.key.filter(|_| self.terms.warm_keys) else { return Vec::new() };
+        let mut ranked: Vec<_> =
+            self.order.iter().map(|&u| (mixed(key, self.upstreams[u].hash), u)).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(HOMES).map(|(_, u)| u).collect()
+    }
+
     /// Whether an upstream is silent or fails more than the fleet does.
     fn suspect(&mut self, now: Micros, u: usize, heard: f64, expected: f64, usual: f64) -> bool {
         let upstream = &mut self.upstreams[u];
@@ -745,7 +759,9 @@
     fn has_room(&self, now: Micros, u: usize) -> bool {
         let up = &self.upstreams[u];
         up.full_until <= now
-            && (self.asks() || up.in_flight as f64 == 0.0 || up.in_flight as f64 + ROUNDING < self.limit(now, u))
+            && (self.asks()
+                || up.in_flight as f64 == 0.0
+                || up.in_flight as f64 + ROUNDING < self.limit(now, u))
     }
 
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
@@ -842,13 +858,21 @@
     }
 
     /// Takes in how a dispatch ended.
-    fn ended(&mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros) {
+    pub(crate) fn ended(
+        &mut self,
+        now: Micros,
+        ticket: &mut Ticket,
+        number: usize,
+        ending: Ending,
+        took: Micros,
+    ) {
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else { return };
         let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
         let upstream = &mut self.upstreams[dispatch.upstream];
         upstream.release(ticket.work);
+        let promised = self.terms.use_cases[ticket.use_case].promised_time;
         upstream.used = Some(now);
         let (u, rested) = (dispatch.upstream, dispatch.rested);
         let fate = match ending {
@@ -866,8 +890,12 @@
                 self.host.tell(None, &Word::Dropped(rested / 2).text());
             }
         }
+        if took >= promised || ending == Ending::Succeeded {
+            self.fared(now, ticket, took);
+        }
+        let dragging = took >= promised && self.is_dragging(now, ticket);
         let upstream = &mut self.upstreams[u];
-        if ending == Ending::CalledOff || ending == Ending::NeverSent {
+        if dragging || ending == Ending::CalledOff || ending == Ending::NeverSent {
             // A client that left early says nothing of the upstream.
             if upstream.in_flight == 0 && !upstream.suspected {
                 upstream.unanswered_since = None;
--- /dev/null
+++ b/src/groups.rs
@@ -0,0 +1,79 @@
+//! Use cases and accounts whose tickets drag wherever they are sent. Slow at every upstream is no sign against any of
+//! them, and what holds places for longer than its promised time keeps others from theirs.
+
+use crate::fading::Fading;
+use crate::known::{Balancer, Ticket};
+use crate::{Host, Micros};
+
+/// How long outcomes count, the late ones needed, and the late share of what the other tickets leave.
+const HORIZON: f64 = 4e6;
+const DRAGS: (f64, f64) = (2.0, 0.5);
+/// Promised times between two tickets that are let through to see whether it still drags.
+const TRIAL: u64 = 4;
+
+/// How the tickets of one use case or account fared.
+#[derive(Clone, Default)]
+pub(crate) struct Fared {
+    late: Fading,
+    seen: Fading,
+    trial_at: Micros,
+    drags: bool,
+}
+
+impl<H: Host> Balancer<H> {
+    /// Places of a ticket's use case and account among the groups.
+    fn groups_of(&self, ticket: &Ticket) -> [usize; 2] {
+        [ticket.use_case, self.terms.use_cases.len() + ticket.account]
+    }
+
+    /// Whether a group is late far more often than the tickets outside it.
+    fn drags(&mut self, now: Micros, group: usize) -> bool {
+        let Some(fared) = self.groups.get_mut(group) else { return false };
+        let late = fared.late.read(now, HORIZON);
+        if late < if fared.drags { DRAGS.0 / 4.0 } else { DRAGS.0 } {
+            fared.drags = false;
+            return false;
+        }
+        let seen = fared.seen.read(now, HORIZON);
+        let (all_late, all) = (self.fared.late.read(now, HORIZON), self.fared.seen.read(now, HORIZON));
+        // Where nothing is known of others, they may be as late.
+        let others = (all_late - late + 1.0) / (all - seen + 1.0);
+        fared.drags = late / seen > DRAGS.1 + (1.0 - DRAGS.1) * others;
+        fared.drags
+    }
+
+    /// Whether a ticket would drag at any upstream.
+    pub(crate) fn is_dragging(&mut self, now: Micros, ticket: &Ticket) -> bool {
+        self.groups_of(ticket).into_iter().any(|group| self.drags(now, group))
+    }
+
+    /// Whether a ticket is kept out as one that drags; now and then one is let through, or nobody would see the end.
+    pub(crate) fn kept_out(&mut self, now: Micros, ticket: &Ticket) -> bool {
+        let span = TRIAL * self.terms.use_cases[ticket.use_case].promised_time;
+        for group in self.groups_of(ticket) {
+            if self.drags(now, group) {
+                let fared = &mut self.groups[group];
+                if now < fared.trial_at {
+                    return true;
+                }
+                fared.trial_at = now + span;
+            }
+        }
+        false
+    }
+
+    /// Takes in whether a dispatch took longer than the promised time.
+    pub(crate) fn fared(&mut self, now: Micros, ticket: &Ticket, took: Micros) {
+        let late = f64::from(u8::from(took >= self.terms.use_cases[ticket.use_case].promised_time));
+        let [use_case, account] = self.groups_of(ticket);
+        let mut count = |fared: &mut Fared| {
+            fared.late.add(now, HORIZON, late);
+            fared.seen.add(now, HORIZON, 1.0);
+        };
+        [use_case, account].into_iter().filter_map(|g| self.groups.get_mut(g).map(&mut count)).count();
+        count(&mut self.fared);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/groups/tests.rs
@@ -0,0 +1,56 @@
+//! Each test lets two accounts fare differently and asks who is kept out.
+
+use rstest::rstest;
+
+use super::*;
+use crate::Effect;
+use crate::decide::tests::{Diary, MS, START_AT, balancer, ticket};
+use crate::known::Ticket;
+
+/// A balancer whose first account's tickets took so long, and those of another 20 ms.
+fn met(took: Micros, others: Micros) -> Balancer<Diary> {
+    let (mut balancer, _) = balancer(Effect::Redoable, 4);
+    balancer.terms.allowances = vec![1e6, 1e6];
+    balancer.terms_changed(balancer.terms.clone());
+    for n in 0..20 {
+        let [one, other] = [0, 1].map(|account| Ticket { account, ..ticket(&[], false) });
+        balancer.fared(START_AT + n * MS, &one, took);
+        balancer.fared(START_AT + n * MS, &other, others);
+    }
+    balancer
+}
+
+/// On centro's overload day one account's tickets held 0.57 of all places, and 67 % of the others were refused.
+/// Where all are late the cause lies elsewhere, and keeping one account out would help nobody.
+#[rstest]
+#[case::drags(900, 20, true)]
+#[case::in_time(300, 20, false)]
+#[case::all_are_late(900, 900, false)]
+fn who_drags_everywhere_is_kept_out(#[case] took: Micros, #[case] others: Micros, #[case] out: bool) {
+    let mut balancer = met(took * MS, others * MS);
+    let mut kept_out = |account| {
+        let waiting = Ticket { account, ..ticket(&[], false) };
+        (0..8).filter(|n| balancer.kept_out(START_AT + (100 + n) * MS, &waiting)).count()
+    };
+    // One is let through, to see.
+    assert_eq!((kept_out(0), kept_out(1)), (if out { 7 } else { 0 }, 0));
+}
+
+#[rstest]
+fn who_is_in_time_again_is_let_in() {
+    let mut balancer = met(900 * MS, 20 * MS);
+    let now = START_AT + 12_000 * MS;
+    assert!(!balancer.kept_out(START_AT + 60 * MS, &ticket(&[], false)));
+    balancer.fared(now, &ticket(&[], false), 20 * MS);
+    assert!(!balancer.is_dragging(now, &ticket(&[], false)));
+}
+
+/// Slow at every upstream is no sign against one: it must not become suspect or look slow.
+#[rstest]
+fn a_dragging_ticket_teaches_nothing_of_its_upstream() {
+    let mut balancer = met(900 * MS, 20 * MS);
+    let mut sent = ticket(&[2], true);
+    sent.dispatches[0].out = true;
+    balancer.ended(START_AT + 60 * MS, &mut sent, 0, crate::Ending::Silent, 900 * MS);
+    assert_eq!((balancer.upstreams[2].failed.sum, balancer.upstreams[2].answers.read()), (0.0, None));
+}
--- a/src/known.rs
+++ b/src/known.rs
@@ -6,11 +6,12 @@
 use nanorand::WyRand;
 
 use crate::fading::{Fading, Mean};
+use crate::groups::Fared;
 use crate::{Host, Micros, Terms};
 
 /// Features of an upstream for one ticket, each about 0 for an average one: constant, own latency, reported
-/// utilisation, own in flight, capacity, same zone, reported queue.
-pub(crate) const FEATURES: usize = 7;
+/// utilisation, own in flight, capacity, same zone, reported queue, home of the ticket's key.
+pub(crate) const FEATURES: usize = 8;
 
 /// How long a machine that left is known: one that comes back from a crash is as quick as before.
 const KNOWN_FOR: Micros = 60_000_000;
@@ -135,6 +136,7 @@
     /// Work against a usual ticket of its use case.
     pub(crate) work: f64,
     pub(crate) within_share: bool,
+    pub(crate) account: usize,
     pub(crate) streaming: bool,
     /// What the terms that it was taken under allow: dispatches, and two out at once. The stricter ones hold.
     pub(crate) most_dispatches: usize,
@@ -173,6 +175,7 @@
             most_dispatches: usize::MAX,
             second_copies: true,
             dispatches,
+            account: 0,
             key: None,
             line: None,
             untold: 0,
@@ -264,6 +267,9 @@
     pub(crate) paces: Vec<Pace>,
     pub(crate) seen: Seen,
     pub(crate) admitted: Vec<Fading>,
+    /// How use cases, then accounts fared, and all together.
+    pub(crate) groups: Vec<Fared>,
+    pub(crate) fared: Fared,
 }
 
 impl<H: Host> Balancer<H> {
@@ -303,6 +309,8 @@
             paces: vec![Pace::default(); terms.use_cases.len()],
             seen: Seen::default(),
             admitted: vec![Fading::default(); terms.allowances.len()],
+            groups: vec![Fared::default(); terms.use_cases.len() + terms.allowances.len()],
+            fared: Fared::default(),
             terms,
         }
     }
@@ -324,6 +332,7 @@
         for upstream in &mut self.upstreams {
             upstream.fares.resize(terms.use_cases.len(), Fare::default());
         }
+        self.groups = vec![Fared::default(); terms.use_cases.len() + terms.allowances.len()];
         self.admitted = vec![Fading::default(); terms.allowances.len()];
         self.terms = terms;
         self.held.sort_by_key(|ticket| ticket.promised);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod arithmetic;
 mod decide;
 mod fading;
+mod groups;
 mod known;
 mod measures;
 mod turns;
