Room for chance where answers are quick; pressure weighs answers by their work

Now six roots of its limit as far as recent answers stay under what counts as late, none under pressure.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -64,12 +64,14 @@
 /// In flight against what the shortest answer times would need, and what all may always have at an upstream.
 const STRETCH: f64 = 1.5;
 const LEAST: (f64, f64) = (2.0, 2.0);
+/// Roots of a limit that chance may take up beyond it where answers are quick.
+const CHANCE: f64 = 6.0;
 /// Where a limit counts as one ticket more: above a half, a limit of one could never grow.
 const ROUNDING: f64 = 0.4;
 /// Answer time over the shortest before fewer tickets are let through, within parts of the promised time: a
 /// fleet may never be seen at ease. How quickly a ticket moves the share; the most an answer counts, as a
 /// refusal does; the least share and that at the start, when no speeds are known; answers to leave it.
-const AT_EASE: (f64, f64, f64) = (1.6, 0.3, 0.5);
+const AT_EASE: (f64, f64, f64) = (2.5, 0.4, 0.7);
 const THINNING: (f64, f64) = (0.3, 3.0);
 const THROUGH: (f64, f64) = (0.1, 0.5);
 const HEARD_PRIOR: f64 = 0.5;
@@ -194,6 +196,7 @@
         let [late, heard] =
             [&self.seen.pressure.total, &self.seen.pressure.weight].map(|s| s.read(now, SECOND));
         let ease = 1.0 - (late + HEARD_PRIOR) / (heard + HEARD_PRIOR);
+        self.ease = ease.max(0.0);
         self.let_through = (self.let_through * (1.0 + THINNING.0 * ease)).clamp(THROUGH.0, 1.0);
         // With several upstreams to itself, or loads to ask for, a balancer needs no guess.
         let own =
@@ -773,7 +776,7 @@
         held < LEAST.1
             || known().take(self.circle().0).any(|&u| {
                 limit += self.limit(now, u);
-                held < limit + (limit / self.terms.balancers as f64).sqrt()
+                held < limit + (CHANCE * self.ease + (1.0 / self.terms.balancers as f64).sqrt()) * limit.sqrt()
             })
     }
 
@@ -910,8 +913,8 @@
             let promised = self.terms.use_cases[ticket.use_case].promised_time as f64;
             let ease = AT_EASE.0 * pace.shortest.unwrap_or(promised);
             let ease = ease.clamp(AT_EASE.1 * promised, AT_EASE.2 * promised);
-            let late = if ending == Ending::Succeeded { took / ease } else { THINNING.1 };
-            self.seen.pressure.add(now, SECOND, late.min(THINNING.1), 1.0);
+            let late = if ending == Ending::Succeeded { (took / ease).min(THINNING.1) } else { 3.0 * THINNING.1 };
+            self.seen.pressure.add(now, SECOND, late, ticket.work);
         }
         let all = self.seen.answers.read().unwrap_or(took);
         let mut answer = took * all / pace.lasting.read().unwrap_or(took).max(1.0);
--- a/src/known.rs
+++ b/src/known.rs
@@ -260,6 +260,8 @@
     pub(crate) salt: u64,
     /// Share of tickets let through.
     pub(crate) let_through: f64,
+    /// How far recent answers stay under what counts as late, 0 to 1.
+    pub(crate) ease: f64,
     pub(crate) weights: [f64; FEATURES],
     pub(crate) samples: Vec<(Scene, f64)>,
     pub(crate) updated: Micros,
@@ -302,6 +304,7 @@
             warm: 0,
             salt: 0,
             let_through: 1.0,
+            ease: 0.0,
             weights,
             samples: Vec::new(),
             updated: now,
