--- a/src/measures.rs
+++ b/src/measures.rs
@@ -17,7 +17,7 @@
 /// Answers that what is expected unheard counts as, and the part of the promised time that is expected then.
 pub(crate) const EACH: (f64, f64) = (3.0, 0.2);
 /// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
-const FOLLOWS: (f64, f64) = (0.1, 0.002);
+const FOLLOWS: (f64, f64) = (0.1, 0.0003);
 
 /// Answers that what is usual for the machine type counts as, and where loads are asked for: own ones tell little.
 const KIND_ANSWERS: f64 = 1.0;
