--- a/src/decide.rs
+++ b/src/decide.rs
@@ -298,8 +298,7 @@
     fn in_time(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
         let (each, Some(held)) = (self.each(now, u), self.upstreams[u].held) else { return true };
         let spare = ticket.promised.min(ticket.hard_stop).saturating_sub(now) as f64;
-        let earnings = self.terms.use_cases[ticket.use_case].earnings / self.terms.most_earned();
-        let worth = if ticket.within_share { earnings } else { 0.0 };
+        let worth = self.terms.use_cases[ticket.use_case].earnings / self.terms.most_earned();
         let part = WORTHLESS_PART + (1.0 - WORTHLESS_PART) * worth;
         // With no hint of its work a ticket may be one of the long ones; once sent there is less to lose.
         let unsent = ticket.dispatches.is_empty();
