--- a/src/decide.rs
+++ b/src/decide.rs
@@ -82,8 +82,6 @@
 /// Expected answer times after which a dismissed ticket may come back, and left to a held one when sent.
 const COME_BACK: f64 = 0.5;
 const TIME_LEFT: f64 = 2.0;
-/// Work against the usual from which a ticket is long, and the shortest answer times that it is given then.
-const LONG: (f64, f64) = (2.0, 1.2);
 
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
 const COLD: (f64, f64) = (0.4, 0.5);
@@ -694,12 +692,6 @@
             ready.extend(out.into_iter().filter(|&u| self.has_room(now, u)));
             return (ready, None);
         }
-        // A long ticket goes where it is done in time, or waits for room there.
-        let spare = ticket.promised.saturating_sub(now) as f64;
-        let in_time = |u: &usize| LONG.1 * self.upstreams[*u].shortest.unwrap_or(0.0) * ticket.work <= spare;
-        if ticket.work > LONG.0 && self.order.iter().any(|u| in_time(u) && !self.upstreams[*u].suspected) {
-            ready.retain(in_time);
-        }
         // Ties would fall to whoever comes first, again and again.
         let turn = self.chance.generate_range(0..ready.len().max(1));
         ready.rotate_left(turn);
@@ -781,13 +773,11 @@
 
     /// The moment after which an answer would likely come too late.
     pub(crate) fn last_start(&self, now: Micros, ticket: &Ticket) -> Micros {
-        let needed = match ticket.work > LONG.0 {
-            _ if self.asks() => {
-                let each = self.order.iter().take(self.circle().0).map(|&u| self.each(now, u));
-                each.fold(f64::INFINITY, f64::min) * ticket.work
-            }
-            true => LONG.1 * self.quickest().min(self.expected(ticket.use_case)) * ticket.work,
-            false => TIME_LEFT * self.expected(ticket.use_case) * ticket.work.max(1.0),
+        let needed = if self.asks() {
+            let each = self.order.iter().take(self.circle().0).map(|&u| self.each(now, u));
+            each.fold(f64::INFINITY, f64::min) * ticket.work
+        } else {
+            TIME_LEFT * self.expected(ticket.use_case) * ticket.work.max(1.0)
         };
         ticket.promised.min(ticket.hard_stop.saturating_sub(PUMP_EVERY)).saturating_sub(needed as Micros)
     }
