In place of suspicion and trials, a rest that doubles with failures in a row

Whoever fails now rests half a usual answer time, doubled six times at most while nothing succeeds; the next ticket is the trial.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,14 +43,10 @@
 const TEACHING: usize = 32;
 const UPDATE_EVERY: Micros = 2_000_000;
 
-/// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
-const SILENT: f64 = 4.0;
-/// Failed share, of what the fleet's leaves, that makes an upstream failing, and the failures needed.
-const FAILING: (f64, f64) = (0.3, 1.5);
-/// Suspected upstreams for each other one: the limits keep those left from being swamped.
+/// Upstreams shunned for each other one: the limits keep those left from being swamped.
 const MOST_OUT: usize = 3;
-/// First wait before a trial, in expected answer times, and its doublings.
-const TRIAL: (f64, u32) = (3.0, 4);
+/// Part of a usual answer time that an upstream rests after a failure, and its doublings while nothing succeeds.
+const REST: (f64, u32) = (0.5, 6);
 /// A failure counts as an answer this many times as late as usual, or as late as it was.
 const FAILURE_LATENCY: f64 = 3.0;
 
@@ -210,8 +206,8 @@
 
     /// The ordinary path of a ticket.
     fn place(&mut self, now: Micros, ticket: &mut Ticket) -> bool {
-        let (ready, trial) = self.candidates(now, ticket);
-        if let Some(u) = trial { self.send(now, ticket, u, None) } else { self.draw(now, ticket, &ready) }
+        let ready = self.candidates(now, ticket);
+        self.draw(now, ticket, &ready)
     }
 
     /// Whether loads are asked for, of upstreams or keepers: a balancer of a ticket a second can't know them.
@@ -224,11 +220,7 @@
         if self.last_start(now, &ticket) < now {
             return self.give_up(now, ticket);
         }
-        let (ready, trial) = self.candidates(now, &ticket);
-        if trial.is_some_and(|u| self.send(now, &mut ticket, u, None)) {
-            self.tickets.insert(Rc::clone(&ticket.id), ticket);
-            return;
-        }
+        let ready = self.candidates(now, &ticket);
         ticket.asks += 1;
         if ready.is_empty() {
             return self.hold(now, ticket);
@@ -647,64 +639,41 @@
         held + 1.0 <= COLD_TOLD.0 * COLD.0 * warming.multiple * done
     }
 
-    /// The candidates to draw from, the first of the own order that are open, and a suspect due for a trial.
-    /// Suspicion leaves a few in: when all seem ill, the cause lies elsewhere.
-    fn candidates(&mut self, now: Micros, ticket: &Ticket) -> (Vec<usize>, Option<usize>) {
-        // What is out may be of any use case: the slowest one sets how long silence is usual.
-        let in_use = (0..self.paces.len()).filter(|&c| self.terms.use_cases[c].earnings > 0.0);
-        let expected = in_use.map(|c| self.expected(c)).fold(0.0, f64::max);
-        let failed = self.seen.failed.read(now, RECENT);
-        let usual = failed / (failed + self.seen.succeeded.read(now, RECENT)).max(1.0);
-        let heard = self.heard_within(now);
+    /// The candidates to draw from: homes of the ticket's key, and the first of the own order that are open.
+    fn candidates(&mut self, now: Micros, ticket: &Ticket) -> Vec<usize> {
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
-        let (mut ready, mut out, mut met, mut shunned) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let (mut ready, mut met, mut shunned) = (Vec::new(), Vec::new(), Vec::new());
         let homes = self.homes(ticket);
         let most = self.circle().0 + homes.len();
         let others = self.order.iter().copied().filter(|u| !homes.contains(u));
-        for u in homes.iter().copied().chain(others).collect::<Vec<_>>() {
+        for u in homes.iter().copied().chain(others) {
             if ready.len() >= most {
                 break;
             }
-            // Where balancers tell each other what they met, the books say more than a few own outcomes.
-            let suspected = !self.asks() && self.suspect(now, u, heard, expected, usual);
-            let up = &self.upstreams[u];
-            let room = self.has_room(now, u) || (suspected && up.in_flight == 0 && up.full_until <= now);
             // What a cold one holds has to be asked for first.
             let open =
                 if self.asks() { self.open_to(now, ticket, u) } else { self.permitted(now, ticket, u) };
-            if !room || !open {
+            let up = &self.upstreams[u];
+            if !open || !self.has_room(now, u) {
                 continue;
             } else if ticket.dispatches.iter().any(|d| d.upstream == u) {
                 met.push(u);
             } else if up.fares.get(ticket.use_case).is_some_and(|fare| now < fare.shunned_until) {
                 shunned.push(u);
-            } else if suspected {
-                out.push(u);
             } else {
                 ready.push(u);
             }
         }
-        if ready.is_empty() && out.is_empty() && shunned.is_empty() {
-            return (met, None);
+        if ready.is_empty() && shunned.is_empty() {
+            return met;
         }
-        if out.len() + shunned.len() > MOST_OUT * ready.len() {
+        if shunned.len() > MOST_OUT * ready.len() {
             ready.append(&mut shunned);
-            ready.extend(out.into_iter().filter(|&u| self.has_room(now, u)));
-            return (ready, None);
         }
         // Ties would fall to whoever comes first, again and again.
         let turn = self.chance.generate_range(0..ready.len().max(1));
         ready.rotate_left(turn);
-        let risked = self.redone(ticket) && ticket.dispatches.is_empty();
-        let trial = out.into_iter().find(|&u| risked && self.upstreams[u].trial_at <= now);
-        if let Some(u) = trial {
-            let scatter = 1.0 + self.chance.generate::<f64>();
-            let upstream = &mut self.upstreams[u];
-            let wait = TRIAL.0 * expected * scatter * f64::from(1 << upstream.failed_trials);
-            upstream.trial_at = now + wait as Micros;
-            upstream.failed_trials = (upstream.failed_trials + 1).min(TRIAL.1);
-        }
-        (ready, trial)
+        ready
     }
 
     /// Where tickets of a key go before others: all balancers rank the upstreams alike by the key.
@@ -716,24 +685,6 @@
         ranked.into_iter().take(HOMES).map(|(_, u)| u).collect()
     }
 
-    /// Whether an upstream is silent or fails more than the fleet does.
-    fn suspect(&mut self, now: Micros, u: usize, heard: f64, expected: f64, usual: f64) -> bool {
-        let upstream = &mut self.upstreams[u];
-        let silent = upstream.silent_for(now) > SILENT * expected;
-        let enough = if upstream.suspected { FAILING.1 / 3.0 } else { FAILING.1 };
-        // A sum only fades: what was not enough when it was last added to is not enough now.
-        let failed = if upstream.failed.sum > enough { upstream.failed.read(now, heard) } else { 0.0 };
-        let share = || failed / (failed + upstream.succeeded.read(now, heard)).max(1e-9);
-        let suspected = upstream.left.is_some()
-            || silent
-            || (failed > enough && share() > FAILING.0 + (1.0 - FAILING.0) * usual);
-        if suspected && !upstream.suspected {
-            (upstream.trial_at, upstream.failed_trials) = (now + (TRIAL.0 * expected) as Micros, 0);
-        }
-        upstream.suspected = suspected;
-        suspected
-    }
-
     /// How often follows the share of the recent further dispatches that succeeded.
     fn may_spend_more(&self, now: Micros) -> bool {
         let further = self.seen.further.read(now, LASTING);
@@ -760,12 +711,11 @@
 
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
     fn pool_has_room(&self, now: Micros) -> bool {
-        let known = || self.order.iter().filter(|&&u| !self.upstreams[u].suspected);
-        let held: f64 = known().map(|&u| self.upstreams[u].in_flight as f64).sum();
+        let held: f64 = self.order.iter().map(|&u| self.upstreams[u].in_flight as f64).sum();
         let mut limit = 0.0;
         // Limits only add up: once there is room the others need not be looked at.
         held < LEAST.1
-            || known().take(self.circle().0).any(|&u| {
+            || self.order.iter().take(self.circle().0).any(|&u| {
                 limit += self.limit(now, u);
                 held < limit + (CHANCE * self.ease + (1.0 / self.terms.balancers as f64).sqrt()) * limit.sqrt()
             })
@@ -889,7 +839,7 @@
         let upstream = &mut self.upstreams[u];
         if dragging || ending == Ending::CalledOff || ending == Ending::NeverSent {
             // A client that left early says nothing of the upstream.
-            if upstream.in_flight == 0 && !upstream.suspected {
+            if upstream.in_flight == 0 {
                 upstream.unanswered_since = None;
             }
             return;
@@ -912,22 +862,16 @@
         }
         let mut payoff = 0.0;
         if ending == Ending::Succeeded {
-            upstream.left = None;
-            if upstream.suspected {
-                upstream.failed.sum *= 0.5;
-                (upstream.trial_at, upstream.failed_trials) = (now, 0);
-            }
+            (upstream.left, upstream.failures) = (None, 0);
             if number > 0 {
                 self.seen.further_succeeded.add(now, LASTING, 1.0);
             }
             self.learn(now, ticket, number, took, answer, cold);
             payoff = (all / answer).min(WIDEST);
         } else {
-            if ending.proves_not_run() {
-                upstream.full_until = now + (pace.present.read().unwrap_or(0.0) / 2.0) as Micros;
-            }
-            upstream.failed.add(now, heard, 1.0);
-            self.seen.failed.add(now, RECENT, 1.0);
+            let rest = REST.0 * pace.present.read().unwrap_or(0.0) * f64::from(1 << upstream.failures);
+            upstream.full_until = now + rest as Micros;
+            upstream.failures = (upstream.failures + 1).min(REST.1);
             // A fast failure must not make an upstream look quick.
             answer = answer.max(FAILURE_LATENCY * all);
         }
--- a/src/known.rs
+++ b/src/known.rs
@@ -44,16 +44,13 @@
     pub(crate) shortest: Option<f64>,
     /// Time that succeeded dispatches were in flight.
     pub(crate) kept: Fading,
-    pub(crate) succeeded: Fading,
-    pub(crate) failed: Fading,
     pub(crate) unanswered_since: Option<Micros>,
     /// Until when tickets may be open that were sent here.
     pub(crate) met_until: Micros,
-    /// Turned a ticket away: nothing more until one has likely left, or refusals would come in storms.
+    /// Failed or turned a ticket away: nothing more until then, or failures would come in storms.
     pub(crate) full_until: Micros,
-    pub(crate) suspected: bool,
-    pub(crate) trial_at: Micros,
-    pub(crate) failed_trials: u32,
+    /// Failures since it last answered.
+    pub(crate) failures: u32,
     pub(crate) utilisation: Option<f64>,
     pub(crate) queue: Option<f64>,
     /// What it holds in all, as far as it was told.
@@ -221,7 +218,6 @@
     /// Answer time for each ticket that an upstream of weight 1 holds, the own one included.
     pub(crate) each: Mean,
     pub(crate) succeeded: Fading,
-    pub(crate) failed: Fading,
     pub(crate) arrivals: Fading,
     pub(crate) served: Fading,
     pub(crate) further: Fading,
@@ -347,12 +343,6 @@
         &self.terms
     }
 
-    /// The shortest answer time of the quickest upstream that is ready.
-    pub(crate) fn quickest(&self) -> f64 {
-        let known = self.order.iter().filter_map(|&u| self.upstreams[u].shortest);
-        known.fold(f64::INFINITY, f64::min)
-    }
-
     /// A place for an upstream that has none yet.
     pub(crate) fn blank_place(&mut self) -> usize {
         self.upstreams.iter().position(|upstream| upstream.id.is_empty()).unwrap_or_else(|| {
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::arithmetic::mixed;
-use crate::fading::{Fading, Mean};
+use crate::fading::Mean;
 use crate::known::{Balancer, Fare, Ticket, Upstream};
 use crate::{Host, Micros};
 
@@ -83,8 +83,7 @@
         if launched > upstream.launched && at != blank {
             // A new process has nothing to do with what was held against the old one.
             upstream.answers = Mean::default();
-            upstream.failed = Fading::default();
-            (upstream.unanswered_since, upstream.suspected, upstream.full_until) = (None, false, 0);
+            (upstream.unanswered_since, upstream.failures, upstream.full_until) = (None, 0, 0);
         }
         upstream.launched = launched;
         // Weights may be late readings, alike at all balancers: following each they would swing together.
@@ -182,11 +181,10 @@
         cold: bool,
     ) {
         let Some(dispatch) = ticket.dispatches.get(number) else { return };
-        let (heard, capacity) = (self.heard_within(now), self.capacity(dispatch.upstream));
+        let capacity = self.capacity(dispatch.upstream);
         let before = dispatch.before;
         let (upstream, pace) = (&mut self.upstreams[dispatch.upstream], &mut self.paces[ticket.use_case]);
         let (seen, kinds) = (&mut self.seen, &mut self.kinds);
-        upstream.succeeded.add(now, heard, 1.0);
         seen.succeeded.add(now, RECENT, 1.0);
         if let Some(held) = before {
             let each = took * ticket.work * capacity / (held + ticket.work);
