What is silent is passed over but for one at a time; cold budgets add up over all who may send

Silent upstreams hold no room in the pool, which had centro's slow link refuse what others could serve.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,6 +43,8 @@
 const TEACHING: usize = 32;
 const UPDATE_EVERY: Micros = 2_000_000;
 
+/// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
+const SILENT: f64 = 4.0;
 /// Upstreams shunned for each other one: the limits keep those left from being swamped.
 const MOST_OUT: usize = 3;
 /// Part of a usual answer time that an upstream rests after a failure, and its doublings while nothing succeeds.
@@ -80,7 +82,7 @@
 const TIME_LEFT: f64 = 2.0;
 
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
-const COLD: (f64, f64) = (0.4, 0.5);
+const COLD: (f64, f64) = (0.7, 0.5);
 /// Part of the budget that may be held where all of it was told, and part of the fall time it is fresh for.
 const COLD_TOLD: (f64, Micros) = (0.25, 16);
 
@@ -625,7 +627,11 @@
         let each = borne / self.lived(now) / self.circle().0.min(self.warm).max(1) as f64;
         let span = age / warming.span.max(1);
         let chance = mixed(mixed(self.salt, upstream.hash), span) as f64 / u64::MAX as f64;
-        let budget = COLD.0 * warming.multiple * grown * each * warming.span as f64;
+        // All budgets add up to what it bears: those of its circles to one half, all the others' to another.
+        let kept = self.circle().0;
+        let keeps = self.asks() || self.order.iter().take(kept).any(|&kept| kept == u);
+        let part = if keeps { 1.0 } else { kept as f64 / self.order.len().max(1) as f64 };
+        let budget = part * COLD.0 * warming.multiple * grown * each * warming.span as f64;
         let (spent_in, spent) = upstream.cold_spent;
         (span, if spent_in == span { spent } else { 0.0 }, (budget + chance).floor())
     }
@@ -643,7 +649,7 @@
     fn candidates(&mut self, now: Micros, ticket: &Ticket) -> Vec<usize> {
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
         let (mut ready, mut met, mut shunned) = (Vec::new(), Vec::new(), Vec::new());
-        let homes = self.homes(ticket);
+        let (homes, silence) = (self.homes(ticket), self.silence());
         let most = self.circle().0 + homes.len();
         let others = self.order.iter().copied().filter(|u| !homes.contains(u));
         for u in homes.iter().copied().chain(others) {
@@ -654,7 +660,9 @@
             let open =
                 if self.asks() { self.open_to(now, ticket, u) } else { self.permitted(now, ticket, u) };
             let up = &self.upstreams[u];
-            if !open || !self.has_room(now, u) {
+            // Of what is silent one at a time shows whether it still is.
+            let tried = up.used.is_some_and(|used| (now as f64) < used as f64 + silence);
+            if !open || !self.has_room(now, u) || (up.silent_for(now) > silence && tried) {
                 continue;
             } else if ticket.dispatches.iter().any(|d| d.upstream == u) {
                 met.push(u);
@@ -676,6 +684,12 @@
         ready
     }
 
+    /// Beyond this nothing having come is no accident; what is out may be of the slowest use case.
+    fn silence(&self) -> f64 {
+        let in_use = (0..self.paces.len()).filter(|&c| self.terms.use_cases[c].earnings > 0.0);
+        SILENT * in_use.map(|c| self.expected(c)).fold(0.0, f64::max)
+    }
+
     /// Where tickets of a key go before others: all balancers rank the upstreams alike by the key.
     fn homes(&self, ticket: &Ticket) -> Vec<usize> {
         let Some(key) = ticket.key.filter(|_| self.terms.warm_keys) else { return Vec::new() };
@@ -711,11 +725,13 @@
 
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
     fn pool_has_room(&self, now: Micros) -> bool {
-        let held: f64 = self.order.iter().map(|&u| self.upstreams[u].in_flight as f64).sum();
+        let silence = self.silence();
+        let heard = || self.order.iter().filter(|&&u| self.upstreams[u].silent_for(now) <= silence);
+        let held: f64 = heard().map(|&u| self.upstreams[u].in_flight as f64).sum();
         let mut limit = 0.0;
         // Limits only add up: once there is room the others need not be looked at.
         held < LEAST.1
-            || self.order.iter().take(self.circle().0).any(|&u| {
+            || heard().take(self.circle().0).any(|&u| {
                 limit += self.limit(now, u);
                 held < limit + (CHANCE * self.ease + (1.0 / self.terms.balancers as f64).sqrt()) * limit.sqrt()
             })
