A ticket asks once; circles of few balancers leave out nobody

A test showed that with four balancers before 13 upstreams one was in nobody's circle: two sharers, and four more over the number of balancers. Cold budgets of 0.6.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -247,7 +247,8 @@
     let reply = Rc::new(RefCell::new(String::new()));
     for line in input.lines() {
         let line = line.map_err(|problem| format!("cannot read: {problem}"))?;
-        let batch: Batch = serde_json::from_str(&line).map_err(|problem| format!("not a batch: {problem}"))?;
+        let batch: Batch =
+            serde_json::from_str(&line).map_err(|problem| format!("not a batch: {problem}"))?;
         let now = batch.now;
         reply.borrow_mut().push_str("{\"orders\":[");
         for (place, event) in batch.msgs.iter().enumerate() {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,7 @@
 const WIDEST: f64 = 3.0;
 /// Fewest balancers that keep to an upstream and upstreams that one keeps to, also where loads are asked for;
 /// near ones for each far one, and an irrational part of a ring between neighbours' starts.
-const CIRCLE: (usize, usize, usize) = (2, 2, 6);
+const CIRCLE: (usize, usize, usize, usize) = (2, 2, 6, 4);
 const RING: (usize, f64) = (2, 0.618_033_988_749_895);
 const STEP: f64 = 0.1;
 const CLIP: f64 = 0.2; // the paper's ε
@@ -82,19 +82,20 @@
 const TIME_LEFT: f64 = 2.0;
 
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
-const COLD: (f64, f64) = (0.7, 0.5);
+const COLD: (f64, f64) = (0.6, 0.5);
 /// Part of the budget that may be held where all of it was told, and part of the fall time it is fresh for.
 const COLD_TOLD: (f64, Micros) = (0.25, 16);
 
 /// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
 const FOLLOW: (f64, f64) = (0.8, 32.0);
 
-/// Upstreams asked for each ticket; parts of the promised time to wait for answers, and to ask again after.
+/// Upstreams asked for each ticket, and the part of the promised time to wait for answers.
 const ASKED: usize = 5;
 /// What an upstream that holds nothing counts as holding: with one core, and with several (weights listed).
 const IDLE: (f64, f64) = (0.2, 0.5);
 const ASK_PART: Micros = 20;
-const ASK_AGAIN: (Micros, usize, Micros) = (14, 2, 4); // after, times at most, waits that loads stand
+/// Waits for answers that loads stand after a ticket found none in time.
+const STANDS: Micros = 4;
 /// Part of its time that a ticket that earns nothing may take; one that earns most may take all.
 const WORTHLESS_PART: f64 = 0.3;
 /// How long a use case is kept from an upstream, its doublings, and the failed part from which it is.
@@ -161,7 +162,8 @@
     pub(crate) fn circle(&self) -> (usize, f64) {
         let (ready, balancers) = (self.order.len(), self.terms.balancers);
         let least = if self.asks() { CIRCLE.2 } else { CIRCLE.1 };
-        let kept = (CIRCLE.0 * ready).div_ceil(balancers).max(least).min(ready);
+        let kept = ((CIRCLE.0 * balancers + CIRCLE.3) * ready).div_ceil(balancers * balancers);
+        let kept = kept.max(least).min(ready);
         (kept, (kept * balancers) as f64 / ready.max(1) as f64)
     }
 
@@ -223,14 +225,14 @@
             return self.give_up(now, ticket);
         }
         let ready = self.candidates(now, &ticket);
-        ticket.asks += 1;
         if ready.is_empty() {
-            return self.hold(now, ticket);
+            self.in_vain = now;
+            return self.give_up(now, ticket);
         }
         let wait = self.terms.use_cases[ticket.use_case].promised_time / ASK_PART;
         // Where none was in time of late, words about each ticket would flood all balancers.
-        let flood = !self.terms.loads_probed && now < self.in_vain + ASK_AGAIN.2 * wait;
-        let fresh = if flood { ASK_AGAIN.2 * wait } else { wait };
+        let flood = !self.terms.loads_probed && now < self.in_vain + STANDS * wait;
+        let fresh = if flood { STANDS * wait } else { wait };
         (ticket.waits, ticket.answered) = ready.into_iter().take(ASKED).partition(|&u| {
             let (keeper, upstream) = (self.keeper(u), &mut self.upstreams[u]);
             if !self.terms.loads_probed && keeper == self.terms.own_number {
@@ -282,7 +284,10 @@
         ready.retain(|&u| self.permitted(now, &ticket, u) && self.in_time(now, &ticket, u));
         match !ready.is_empty() && self.draw(now, &mut ticket, &ready) {
             true => _ = self.tickets.insert(Rc::clone(&ticket.id), ticket),
-            false => self.hold(now, ticket),
+            false => {
+                self.in_vain = now;
+                self.give_up(now, ticket);
+            }
         }
     }
 
@@ -457,7 +462,7 @@
         if now < self.dropped.1 && rested.is_some_and(|rested| rested >= self.dropped.0) {
             self.host.close_idle(&upstream.id);
         }
-        (ticket.asks, ticket.untold) = (0, ticket.untold + 1);
+        ticket.untold += 1;
         if let Some(line) = ticket.line.and_then(|key| self.lines.get_mut(&key)) {
             line.out += 1;
         }
@@ -588,10 +593,7 @@
             FOLLOW_ALARM => self.host.follow_list(),
             PUMP_ALARM => {
                 self.pump_set = false;
-                match self.asks() {
-                    true => std::mem::take(&mut self.held).into_iter().for_each(|t| self.ask(now, t)),
-                    false => self.pump(now),
-                }
+                self.pump(now);
             }
             _ => match self.alarms.remove(&alarm) {
                 Some(Alarm::Asked(id)) => {
@@ -733,7 +735,8 @@
         held < LEAST.1
             || heard().take(self.circle().0).any(|&u| {
                 limit += self.limit(now, u);
-                held < limit + (CHANCE * self.ease + (1.0 / self.terms.balancers as f64).sqrt()) * limit.sqrt()
+                held < limit
+                    + (CHANCE * self.ease + (1.0 / self.terms.balancers as f64).sqrt()) * limit.sqrt()
             })
     }
 
@@ -770,22 +773,10 @@
         self.set_pump();
     }
 
-    /// Lets a ticket that asked in vain ask once more later, if it could still be placed then.
-    fn hold(&mut self, now: Micros, ticket: Ticket) {
-        self.in_vain = now;
-        let promised = self.terms.use_cases[ticket.use_case].promised_time;
-        if now + promised / ASK_AGAIN.0 > self.last_start(now, &ticket) || ticket.asks >= ASK_AGAIN.1 {
-            return self.give_up(now, ticket);
-        }
-        self.held.push(ticket);
-        self.set_pump();
-    }
-
     fn set_pump(&mut self) {
         if !self.pump_set && !self.held.is_empty() {
             self.pump_set = true;
-            let asks = self.asks().then(|| self.terms.shortest_promise() / ASK_AGAIN.0);
-            self.host.wake(asks.unwrap_or(PUMP_EVERY), PUMP_ALARM);
+            self.host.wake(PUMP_EVERY, PUMP_ALARM);
         }
     }
 
@@ -868,7 +859,8 @@
             let promised = self.terms.use_cases[ticket.use_case].promised_time as f64;
             let ease = AT_EASE.0 * pace.shortest.unwrap_or(promised);
             let ease = ease.clamp(AT_EASE.1 * promised, AT_EASE.2 * promised);
-            let late = if ending == Ending::Succeeded { (took / ease).min(THINNING.1) } else { 3.0 * THINNING.1 };
+            let late =
+                if ending == Ending::Succeeded { (took / ease).min(THINNING.1) } else { 3.0 * THINNING.1 };
             self.seen.pressure.add(now, SECOND, late, ticket.work);
         }
         let all = self.seen.answers.read().unwrap_or(took);
--- a/src/known.rs
+++ b/src/known.rs
@@ -147,7 +147,6 @@
     pub(crate) untold: usize,
     /// Upstreams asked for their load that have not answered, and those that have.
     pub(crate) waits: Vec<usize>,
-    pub(crate) asks: usize,
     pub(crate) answered: Vec<usize>,
 }
 
@@ -177,7 +176,6 @@
             line: None,
             untold: 0,
             waits,
-            asks: 0,
             answered,
         }
     }
