--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,7 +14,7 @@
 use nanorand::{Rng, WyRand};
 
 use crate::arithmetic::{clipped_step, dot, mixed, project, relative, scattered, softplus};
-use crate::known::{Alarm, Balancer, Dispatch, FAME_HORIZON, FEATURES, Scene, Ticket, Upstream};
+use crate::known::{Alarm, Balancer, Dispatch, FEATURES, Scene, Ticket, Upstream};
 use crate::measures::{LASTING, RECENT, SECOND};
 use crate::words::{Fate, Word};
 use crate::{Effect, Ending, Group, Host, Micros, Terms};
@@ -45,8 +45,6 @@
 
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
 const SILENT: f64 = 4.0;
-/// Upstreams shunned for each other one: the limits keep those left from being swamped.
-const MOST_OUT: usize = 3;
 /// Part of a usual answer time that an upstream rests after a failure, and its doublings while nothing succeeds.
 const REST: (f64, u32) = (0.5, 6);
 /// A failure counts as an answer this many times as late as usual, or as late as it was.
@@ -98,9 +96,6 @@
 const STANDS: Micros = 4;
 /// Part of its time that a ticket that earns nothing may take; one that earns most may take all.
 const WORTHLESS_PART: f64 = 0.3;
-/// How long a use case is kept from an upstream, its doublings, and the failed part from which it is.
-const SHUN: (Micros, u32) = (4_000_000, 2);
-const SHUNNED: (f64, f64) = (0.56, 2.5);
 /// How long dropped connections are believed in, the rest that a dropped one had at least, and part of the
 /// promised time within which it is found: a crash takes longer.
 const DROPPED: (Micros, Micros, Micros) = (15_000_000, 200_000, 100);
@@ -310,7 +305,7 @@
         match (word, word.upstream().and_then(named)) {
             (Word::Dropped(rested), _) => self.believe_dropped(now, rested),
             (Word::Sent(_), Some(u)) => self.upstreams[u].note(from, now),
-            (Word::Ended(_, use_case, fate), Some(u)) => self.noted(now, from, u, use_case, fate),
+            (Word::Ended(_, _, fate), Some(u)) => self.upstreams[u].strike(from, now, fate),
             (Word::Asks(short), Some(u)) => {
                 let (held, lost) = (self.upstreams[u].read_book(now) as u64, self.upstreams[u].lost);
                 self.host.tell(Some(from), &Word::Holds(short, held, lost).text());
@@ -320,7 +315,6 @@
                 (upstream.held, upstream.reported, upstream.lost) = (Some(held as f64), now, lost);
                 self.heard(now, u, true);
             }
-            (Word::Fails(_, c, span), Some(u)) if from == self.keeper(u) => self.shun(now, u, c, span),
             _ => {}
         }
     }
@@ -333,40 +327,7 @@
             _ if !self.terms.peers || (ended.is_none() && !self.terms.loads_untold) => {}
             _ if keeper != own => self.host.tell(Some(keeper), &word.text()),
             None => self.upstreams[u].note(own, now),
-            Some((use_case, fate)) => self.noted(now, own, u, use_case, fate),
-        }
-    }
-
-    /// A dispatch ended at an upstream whose book is kept here. Where a use case fails there, all hear of it.
-    fn noted(&mut self, now: Micros, from: usize, u: usize, use_case: usize, fate: Fate) {
-        let upstream = &mut self.upstreams[u];
-        if let Some(at) = upstream.book.iter().position(|entry| entry.0 == from) {
-            upstream.book.remove(at);
-        }
-        let Some(fare) = upstream.fares.get_mut(use_case) else { return };
-        match fate {
-            Fate::Passed => return fare.succeeded.add(now, FAME_HORIZON, 1.0),
-            Fate::Neither => return,
-            Fate::Failed => fare.failed.add(now, FAME_HORIZON, 1.0),
-        }
-        let [failed, succeeded] = [&fare.failed, &fare.succeeded].map(|sum| sum.read(now, FAME_HORIZON));
-        let again = now < fare.shunned_until + 2 * SHUN.0;
-        let enough = if again { SHUNNED.1 / 2.0 } else { SHUNNED.1 };
-        if failed < enough.max(SHUNNED.0 * (failed + succeeded)) || now < fare.shunned_until {
-            return;
-        }
-        fare.times = if again { (fare.times + 1).min(SHUN.1) } else { 0 };
-        let span = SHUN.0 << fare.times;
-        let short = upstream.short();
-        self.host.tell(None, &Word::Fails(short, use_case, span).text());
-        self.shun(now, u, use_case, span);
-    }
-
-    /// Leaves an upstream out for one use case. Not all come back to it together.
-    fn shun(&mut self, now: Micros, u: usize, use_case: usize, span: Micros) {
-        let span = span.min(SHUN.0 << SHUN.1) as f64 * (1.0 + self.chance.generate::<f64>() / 2.0);
-        if let Some(fare) = self.upstreams[u].fares.get_mut(use_case) {
-            fare.shunned_until = now + span as Micros;
+            Some((_, fate)) => self.upstreams[u].strike(own, now, fate),
         }
     }
 
@@ -650,7 +611,7 @@
     /// The candidates to draw from: homes of the ticket's key, and the first of the own order that are open.
     fn candidates(&mut self, now: Micros, ticket: &Ticket) -> Vec<usize> {
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
-        let (mut ready, mut met, mut shunned) = (Vec::new(), Vec::new(), Vec::new());
+        let (mut ready, mut met) = (Vec::new(), Vec::new());
         let (homes, silence) = (self.homes(ticket), self.silence());
         let most = self.circle().0 + homes.len();
         let others = self.order.iter().copied().filter(|u| !homes.contains(u));
@@ -668,18 +629,13 @@
                 continue;
             } else if ticket.dispatches.iter().any(|d| d.upstream == u) {
                 met.push(u);
-            } else if up.fares.get(ticket.use_case).is_some_and(|fare| now < fare.shunned_until) {
-                shunned.push(u);
             } else {
                 ready.push(u);
             }
         }
-        if ready.is_empty() && shunned.is_empty() {
+        if ready.is_empty() {
             return met;
         }
-        if shunned.len() > MOST_OUT * ready.len() {
-            ready.append(&mut shunned);
-        }
         // Ties would fall to whoever comes first, again and again.
         let turn = self.chance.generate_range(0..ready.len().max(1));
         ready.rotate_left(turn);
--- a/src/known.rs
+++ b/src/known.rs
@@ -7,6 +7,7 @@
 
 use crate::fading::{Fading, Mean};
 use crate::groups::Fared;
+use crate::words::Fate;
 use crate::{Host, Micros, Terms};
 
 /// Features of an upstream for one ticket, each about 0 for an average one: constant, own latency, reported
@@ -18,7 +19,7 @@
 
 /// Dispatches that a book holds at most, and for how long: longer than tickets take.
 /// How long a book remembers how dispatches ended.
-pub(crate) const FAME_HORIZON: f64 = 4e6;
+const FAME_HORIZON: f64 = 4e6;
 const BOOK_MOST: usize = 1024;
 const BOOKED_FOR: Micros = 4_000_000;
 
@@ -62,22 +63,12 @@
     pub(crate) used: Option<Micros>,
     /// What others told of their dispatches here, where this balancer keeps its book: who sent, and when.
     pub(crate) book: Vec<(usize, Micros)>,
-    /// How each use case fares here.
-    pub(crate) fares: Vec<Fare>,
+    /// What others told of how their dispatches here ended: so many failed, so many succeeded.
+    pub(crate) fame: (Fading, Fading),
     /// Work sent in the span of its cold life with this number.
     pub(crate) cold_spent: (u64, f64),
 }
 
-/// How one use case fares at an upstream: outcomes told, and until when it is sent none.
-#[derive(Clone, Default)]
-pub(crate) struct Fare {
-    pub(crate) failed: Fading,
-    pub(crate) succeeded: Fading,
-    pub(crate) shunned_until: Micros,
-    /// Shunned so many times with little between.
-    pub(crate) times: u32,
-}
-
 /// What the mechanism saw when it drew: candidates by falling priority, and which was drawn.
 pub(crate) struct Scene {
     pub(crate) rows: Vec<[f64; FEATURES]>,
@@ -326,9 +317,6 @@
             ticket.second_copies &= copies;
         }
         self.paces.resize(terms.use_cases.len(), Pace::default());
-        for upstream in &mut self.upstreams {
-            upstream.fares.resize(terms.use_cases.len(), Fare::default());
-        }
         self.groups = vec![Fared::default(); terms.use_cases.len() + terms.allowances.len()];
         self.admitted = vec![Fading::default(); terms.allowances.len()];
         self.terms = terms;
@@ -376,12 +364,21 @@
         }
     }
 
+    /// Another balancer's dispatch ended.
+    pub(crate) fn strike(&mut self, from: usize, now: Micros, fate: Fate) {
+        if let Some(at) = self.book.iter().position(|entry| entry.0 == from) {
+            self.book.remove(at);
+        }
+        match fate {
+            Fate::Passed => self.fame.1.add(now, FAME_HORIZON, 1.0),
+            Fate::Failed => self.fame.0.add(now, FAME_HORIZON, 1.0),
+            Fate::Neither => {}
+        }
+    }
+
     /// Hundredth parts of what the book tells of that failed. One failure among few is no sign.
     pub(crate) fn booked_lost(&self, now: Micros) -> u64 {
-        let sum = |of: fn(&Fare) -> &Fading| {
-            self.fares.iter().map(|fare| of(fare).read(now, FAME_HORIZON)).sum::<f64>()
-        };
-        let (failed, succeeded) = (sum(|fare| &fare.failed), sum(|fare| &fare.succeeded));
+        let (failed, succeeded) = (self.fame.0.read(now, FAME_HORIZON), self.fame.1.read(now, FAME_HORIZON));
         (100.0 * failed / (failed + succeeded + 1.0)) as u64
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod fading;
 mod groups;
 mod known;
+mod list;
 mod measures;
 mod turns;
 mod words;
--- /dev/null
+++ b/src/list.rs
@@ -0,0 +1,69 @@
+//! The list as it was told, and the loads: taken down, nothing decided.
+
+use std::rc::Rc;
+
+use crate::arithmetic::mixed;
+use crate::fading::Mean;
+use crate::known::{Balancer, Upstream};
+use crate::{Host, Micros};
+
+impl<H: Host> Balancer<H> {
+    /// What a complete list does not name is gone.
+    pub fn list_begins(&mut self, now: Micros, complete: bool) {
+        let stays = self.terms.dropped_stay_open;
+        self.upstreams.iter_mut().filter(|_| complete).for_each(|upstream| upstream.drop_out(now, stays));
+    }
+
+    /// It is listed as gone.
+    pub fn list_drops(&mut self, now: Micros, id: &str) {
+        if let Some(&u) = self.by_id.get(id) {
+            self.upstreams[u].drop_out(now, self.terms.dropped_stay_open);
+        }
+    }
+
+    /// It drains: nothing more, at once.
+    pub fn list_drains(&mut self, id: &str) {
+        if let Some(&u) = self.by_id.get(id) {
+            self.upstreams[u].ready = false;
+        }
+    }
+
+    pub fn list_entry(&mut self, id: &str, zone: u64, kind: u64, cell: u64, weight: f64, launched: Micros) {
+        let blank = self.blank_place();
+        let at = *self.by_id.entry(Rc::from(id)).or_insert(blank);
+        if at == blank {
+            let hash = id.bytes().fold(0, |hash, byte| mixed(hash, u64::from(byte)));
+            self.upstreams[at] = Upstream { id: Rc::from(id), hash, ..Upstream::default() };
+        }
+        let upstream = &mut self.upstreams[at];
+        (upstream.zone, upstream.kind, upstream.cell, upstream.ready) = (zone, kind, cell, true);
+        upstream.left = None;
+        if launched > upstream.launched && at != blank {
+            // A new process has nothing to do with what was held against the old one.
+            upstream.answers = Mean::default();
+            (upstream.unanswered_since, upstream.failures, upstream.full_until) = (None, 0, 0);
+        }
+        upstream.launched = launched;
+        // Weights may be late readings, alike at all balancers: following each they would swing together.
+        upstream.weight.total.sum = upstream.weight.total.sum * 0.9 + weight;
+        upstream.weight.weight.sum = upstream.weight.weight.sum * 0.9 + 1.0;
+    }
+
+    /// The load that an upstream reports: late.
+    pub fn load_reported(
+        &mut self,
+        now: Micros,
+        id: &str,
+        busy: Option<f64>,
+        queue: Option<f64>,
+        held: Option<f64>,
+    ) {
+        if let Some(&u) = self.by_id.get(id) {
+            let upstream = &mut self.upstreams[u];
+            upstream.utilisation = busy.filter(|busy| *busy >= 0.0);
+            upstream.held = held.filter(|held| *held >= 0.0);
+            upstream.queue = queue.filter(|queue| *queue >= 0.0).or(upstream.held);
+            upstream.reported = now;
+        }
+    }
+}
--- a/src/words.rs
+++ b/src/words.rs
@@ -21,8 +21,6 @@
     Asks(u64),
     /// So many, and so many hundredth parts of what went there failed.
     Holds(u64, u64, u64),
-    /// The upstream fails the use case: for so long it should get none.
-    Fails(u64, usize, Micros),
     /// Connections that rested so long are dropped unseen.
     Dropped(Micros),
 }
@@ -44,9 +42,6 @@
             }
             ("?", upstream, ..) => Self::Asks(upstream),
             ("=", upstream, Some(held), lost) => Self::Holds(upstream, held, lost.unwrap_or(0)),
-            ("!", upstream, Some(use_case), Some(span)) => {
-                Self::Fails(upstream, usize::try_from(use_case).ok()?, span)
-            }
             ("~", rested, ..) => Self::Dropped(rested),
             _ => return None,
         })
@@ -58,8 +53,7 @@
             Self::Sent(upstream)
             | Self::Ended(upstream, ..)
             | Self::Asks(upstream)
-            | Self::Holds(upstream, ..)
-            | Self::Fails(upstream, ..) => Some(upstream),
+            | Self::Holds(upstream, ..) => Some(upstream),
             Self::Dropped(_) => None,
         }
     }
@@ -70,7 +64,6 @@
             Self::Ended(upstream, use_case, fate) => format!("- {upstream:x} {use_case:x} {}", fate as u8),
             Self::Asks(upstream) => format!("? {upstream:x}"),
             Self::Holds(upstream, held, lost) => format!("= {upstream:x} {held:x} {lost:x}"),
-            Self::Fails(upstream, use_case, span) => format!("! {upstream:x} {use_case:x} {span:x}"),
             Self::Dropped(rested) => format!("~ {rested:x}"),
         }
     }
@@ -87,7 +80,7 @@
         fn words_come_back_as_they_were_told(upstream in any::<u64>(), a in any::<u64>(), use_case in 0usize..9) {
             let fate = [Fate::Neither, Fate::Passed, Fate::Failed][use_case % 3];
             for word in [Word::Sent(upstream), Word::Ended(upstream, use_case, fate), Word::Asks(upstream),
-                Word::Holds(upstream, a, upstream), Word::Fails(upstream, use_case, a), Word::Dropped(a)] {
+                Word::Holds(upstream, a, upstream), Word::Dropped(a)] {
                 prop_assert_eq!(Word::read(&word.text()), Some(word));
                 prop_assert!(word.text().len() <= 256);
             }
