--- a/src/decide.rs
+++ b/src/decide.rs
@@ -23,9 +23,7 @@
 pub(crate) mod tests;
 
 /// The constant puts an average upstream on the bent part of softplus, where weights act as exponents.
-const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, -0.3, 3.0];
-/// Homes of a key, each with less pull than the last.
-const HOMES: usize = 3;
+const START: [f64; FEATURES] = [-4.0, -3.0, -0.3, -3.0, 1.0, 0.4, -0.3];
 /// Part of its start value that a weight keeps, and the inverse of how far it grows: none changes sign.
 const FLOOR: f64 = 0.4;
 /// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
@@ -185,7 +183,7 @@
         let within_share = self.within_share(now, account);
         let line = key.filter(|_| self.terms.use_cases[use_case].in_order);
         let ticket = Ticket::new(Rc::from(id), use_case, promised, hard_stop, work, within_share);
-        let ticket = Ticket { account, key, line, ..ticket };
+        let ticket = Ticket { account, line, ..ticket };
         let [late, heard] =
             [&self.seen.pressure.total, &self.seen.pressure.weight].map(|s| s.read(now, SECOND));
         let ease = 1.0 - (late + HEARD_PRIOR) / (heard + HEARD_PRIOR);
@@ -339,7 +337,7 @@
 
     /// Draws one of the candidates by the scoring function and sends the ticket there.
     fn draw(&mut self, now: Micros, ticket: &mut Ticket, ready: &[usize]) -> bool {
-        let rows = self.features(now, ready, &self.homes(ticket));
+        let rows = self.features(now, ready);
         let score = |row| softplus(dot(&self.weights, row));
         let mut scored: Vec<(f64, usize)> = rows.iter().map(score).zip(0..).collect();
         scored.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -361,7 +359,7 @@
 
     /// What the mechanism knows of each candidate. Ratios to the candidates' mean make one weight vector
     /// serve upstreams of any speed and fleets of any size; what was never heard is the others' mean, 0.
-    fn features(&self, now: Micros, ready: &[usize], homes: &[usize]) -> Vec<[f64; FEATURES]> {
+    fn features(&self, now: Micros, ready: &[usize]) -> Vec<[f64; FEATURES]> {
         let ups = &self.upstreams;
         let gather = |known: &dyn Fn(usize, &Upstream) -> Option<f64>| -> Vec<f64> {
             let each = ready.iter().enumerate().map(|(i, &u)| known(i, &ups[u]));
@@ -394,8 +392,7 @@
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
         let row = |(i, &u): (usize, &usize)| {
             let (busy, queue) = (busy[i] * fresh[i], queue[i] * fresh[i]);
-            let home = homes.iter().position(|&home| home == u).map_or(0.0, |rank| 1.0 / (1.0 + rank as f64));
-            [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), queue, home]
+            [1.0, latency[i], busy, in_flight[i] - capacity[i] / 2.0, capacity[i], near(u), queue]
         };
         ready.iter().enumerate().map(row).collect()
     }
@@ -608,15 +605,13 @@
         held + 1.0 <= COLD_TOLD.0 * COLD.0 * warming.multiple * done
     }
 
-    /// The candidates to draw from: homes of the ticket's key, and the first of the own order that are open.
+    /// The candidates to draw from: the first of the own order that are open.
     fn candidates(&mut self, now: Micros, ticket: &Ticket) -> Vec<usize> {
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
         let (mut ready, mut met) = (Vec::new(), Vec::new());
-        let (homes, silence) = (self.homes(ticket), self.silence());
-        let most = self.circle().0 + homes.len();
-        let others = self.order.iter().copied().filter(|u| !homes.contains(u));
-        for u in homes.iter().copied().chain(others) {
-            if ready.len() >= most {
+        let silence = self.silence();
+        for &u in &self.order {
+            if ready.len() >= self.circle().0 {
                 break;
             }
             // What a cold one holds has to be asked for first.
@@ -648,15 +643,6 @@
         SILENT * in_use.map(|c| self.expected(c)).fold(0.0, f64::max)
     }
 
-    /// Where tickets of a key go before others: all balancers rank the upstreams alike by the key.
-    fn homes(&self, ticket: &Ticket) -> Vec<usize> {
-        let Some(key) = ticket.key.filter(|_| self.terms.warm_keys) else { return Vec::new() };
-        let mut ranked: Vec<_> =
-            self.order.iter().map(|&u| (mixed(key, self.upstreams[u].hash), u)).collect();
-        ranked.sort_unstable();
-        ranked.into_iter().take(HOMES).map(|(_, u)| u).collect()
-    }
-
     /// How often follows the share of the recent further dispatches that succeeded.
     fn may_spend_more(&self, now: Micros) -> bool {
         let further = self.seen.further.read(now, LASTING);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -75,7 +75,6 @@
         longest_come_back: 0,
         turn_gap: 300 * MS,
         dropped_stay_open: false,
-        warm_keys: false,
         warming: Warming { starts_at: 0.2, warm_after: 10_000 * MS, multiple: 3.0, span: 2_000 * MS },
         use_cases: vec![UseCase { promised_time: 400 * MS, effect, earnings: 1.0, in_order: false }],
         allowances: vec![20.0],
@@ -410,7 +409,7 @@
     balancer.upstreams[1].kind = 1;
     balancer.kinds.entry(0).or_default().add(START_AT, LASTING, 100_000.0, 4.0);
     balancer.kinds.entry(1).or_default().add(START_AT, LASTING, 300_000.0, 4.0);
-    let rows = balancer.features(START_AT, &[0, 1], &[]);
+    let rows = balancer.features(START_AT, &[0, 1]);
     assert!(rows[0][1] < 0.0 && rows[1][1] > 0.0);
 }
 
--- a/src/known.rs
+++ b/src/known.rs
@@ -11,8 +11,8 @@
 use crate::{Host, Micros, Terms};
 
 /// Features of an upstream for one ticket, each about 0 for an average one: constant, own latency, reported
-/// utilisation, own in flight, capacity, same zone, reported queue, home of the ticket's key.
-pub(crate) const FEATURES: usize = 8;
+/// utilisation, own in flight, capacity, same zone, reported queue.
+pub(crate) const FEATURES: usize = 7;
 
 /// How long a machine that left is known: one that comes back from a crash is as quick as before.
 const KNOWN_FOR: Micros = 60_000_000;
@@ -130,8 +130,6 @@
     pub(crate) most_dispatches: usize,
     pub(crate) second_copies: bool,
     pub(crate) dispatches: Vec<Dispatch>,
-    /// What it is about: whoever met that key lately may do less work.
-    pub(crate) key: Option<u64>,
     /// The key whose line it stands in, where its use case is in order.
     pub(crate) line: Option<u64>,
     /// Dispatches of which no end was told.
@@ -163,7 +161,6 @@
             second_copies: true,
             dispatches,
             account: 0,
-            key: None,
             line: None,
             untold: 0,
             waits,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -124,8 +124,6 @@
     pub turn_gap: Micros,
     /// Only draining closes an upstream: one that is listed as gone or left out may still be sent to.
     pub dropped_stay_open: bool,
-    /// An upstream that served a key lately does less work for it.
-    pub warm_keys: bool,
     pub warming: Warming,
     pub use_cases: Vec<UseCase>,
     /// Tickets a second that each account may send, over all balancers.
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -77,10 +77,6 @@
             gap => gap,
         },
         dropped_stay_open: flag(rules, "droppedStayOpen")?,
-        warm_keys: match optional(conf, "familyInfo", Some)? {
-            Some(facts) => flag(facts, "warmKeys")?,
-            None => false,
-        },
         warming: Warming {
             starts_at: number(rules, "coldFrom")?,
             warm_after: whole(rules, "warmUpUs")?,
