--- /dev/null
+++ b/src/books.rs
@@ -0,0 +1,91 @@
+//! Words between balancers taken down and passed on: who sent what where, and how it ended. Nothing is decided here.
+
+use crate::arithmetic::mixed;
+use crate::known::{Balancer, Upstream};
+use crate::words::{Fate, Word};
+use crate::{Host, Micros};
+
+/// Dispatches that a book holds at most, and for how long: longer than tickets take.
+const BOOK_MOST: usize = 1024;
+const BOOKED_FOR: Micros = 4_000_000;
+/// How long a book remembers how dispatches ended.
+const FAME_HORIZON: f64 = 4e6;
+
+impl<H: Host> Balancer<H> {
+    /// What another balancer tells. All of it is hearsay that fades; what can't be read is passed over.
+    pub fn told(&mut self, now: Micros, from: usize, words: &str) {
+        let Some(word) = Word::read(words) else { return };
+        let named = |short| self.upstreams.iter().position(|up| up.short() == short && !up.id.is_empty());
+        match (word, word.upstream().and_then(named)) {
+            (Word::Dropped(rested), _) => self.believe_dropped(now, rested),
+            (Word::Sent(_), Some(u)) => self.upstreams[u].note(from, now),
+            (Word::Ended(_, _, fate), Some(u)) => self.upstreams[u].strike(from, now, fate),
+            (Word::Asks(short), Some(u)) => {
+                let (held, lost) = (self.upstreams[u].read_book(now) as u64, self.upstreams[u].lost);
+                self.host.tell(Some(from), &Word::Holds(short, held, lost).text());
+            }
+            (Word::Holds(_, held, lost), Some(u)) if from == self.keeper(u) => {
+                let upstream = &mut self.upstreams[u];
+                (upstream.held, upstream.reported, upstream.lost) = (Some(held as f64), now, lost);
+                self.heard(now, u, true);
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells who keeps an upstream's book what was sent there or how it ended.
+    pub(crate) fn tell_keeper(&mut self, now: Micros, u: usize, ended: Option<(usize, Fate)>) {
+        let (keeper, own, short) = (self.keeper(u), self.terms.own_number, self.upstreams[u].short());
+        let word = ended.map_or(Word::Sent(short), |(use_case, fate)| Word::Ended(short, use_case, fate));
+        match ended {
+            _ if !self.terms.peers || (ended.is_none() && !self.terms.loads_untold) => {}
+            _ if keeper != own => self.host.tell(Some(keeper), &word.text()),
+            None => self.upstreams[u].note(own, now),
+            Some((_, fate)) => self.upstreams[u].strike(own, now, fate),
+        }
+    }
+
+    /// Which balancer keeps the book of an upstream: all know without a word.
+    pub(crate) fn keeper(&self, u: usize) -> usize {
+        (mixed(self.upstreams[u].hash, 0) % self.terms.balancers as u64) as usize
+    }
+}
+
+impl Upstream {
+    /// Its name in messages between balancers.
+    pub(crate) fn short(&self) -> u64 {
+        self.hash >> 40
+    }
+
+    /// Another balancer's dispatch, where this one keeps the book.
+    pub(crate) fn note(&mut self, from: usize, now: Micros) {
+        if self.book.len() < BOOK_MOST {
+            self.book.push((from, now));
+        }
+    }
+
+    /// Another balancer's dispatch ended.
+    pub(crate) fn strike(&mut self, from: usize, now: Micros, fate: Fate) {
+        if let Some(at) = self.book.iter().position(|entry| entry.0 == from) {
+            self.book.remove(at);
+        }
+        match fate {
+            Fate::Passed => self.fame.1.add(now, FAME_HORIZON, 1.0),
+            Fate::Failed => self.fame.0.add(now, FAME_HORIZON, 1.0),
+            Fate::Neither => {}
+        }
+    }
+
+    /// Hundredth parts of what the book tells of that failed. One failure among few is no sign.
+    pub(crate) fn booked_lost(&self, now: Micros) -> u64 {
+        let (failed, succeeded) = (self.fame.0.read(now, FAME_HORIZON), self.fame.1.read(now, FAME_HORIZON));
+        (100.0 * failed / (failed + succeeded + 1.0)) as u64
+    }
+
+    /// What it holds by the book. A word that was lost must not count for ever.
+    pub(crate) fn read_book(&mut self, now: Micros) -> usize {
+        self.book.retain(|entry| entry.1 + BOOKED_FOR > now);
+        (self.held, self.reported, self.lost) = (Some(self.book.len() as f64), now, self.booked_lost(now));
+        self.book.len()
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -96,6 +96,8 @@
 /// promised time within which it is found: a crash takes longer.
 const DROPPED: (Micros, Micros, Micros) = (15_000_000, 200_000, 100);
 
+/// How long a machine that left is known: one that comes back from a crash is as quick as before.
+const KNOWN_FOR: Micros = 60_000_000;
 const FOLLOW_ALARM: u64 = 0;
 const PUMP_ALARM: u64 = 1;
 
@@ -132,6 +134,19 @@
         self.pump(now);
     }
 
+    /// Forgets upstreams that left long ago and that no open ticket can have been sent to: the list names
+    /// ever new ones.
+    pub(crate) fn forget_left(&mut self, now: Micros) {
+        for upstream in &mut self.upstreams {
+            let out = upstream.in_flight > 0;
+            upstream.ready &= upstream.left.is_none_or(|left| now < left + KNOWN_FOR);
+            if !upstream.ready && !upstream.id.is_empty() && !out && upstream.met_until + KNOWN_FOR < now {
+                self.by_id.remove(&upstream.id);
+                *upstream = Upstream::default();
+            }
+        }
+    }
+
     /// Balancers that see little keep to a few upstreams, from evenly spread starts on the common ring.
     pub(crate) fn draw_order(&mut self) {
         let mut ring: Vec<usize> = (0..self.upstreams.len()).filter(|&u| self.upstreams[u].ready).collect();
@@ -246,7 +261,7 @@
     }
 
     /// An upstream that was asked has answered, or can't.
-    fn heard(&mut self, now: Micros, u: usize, answered: bool) {
+    pub(crate) fn heard(&mut self, now: Micros, u: usize, answered: bool) {
         for ticket in &mut self.asking {
             if let Some(at) = ticket.waits.iter().position(|waits| *waits == u) {
                 ticket.waits.swap_remove(at);
@@ -294,41 +309,8 @@
         each * held * (1.0 + scatter) <= part * (spare - each * ticket.work * (1.0 + scatter))
     }
 
-    /// What another balancer tells. All of it is hearsay that fades; what can't be read is passed over.
-    pub fn told(&mut self, now: Micros, from: usize, words: &str) {
-        let Some(word) = Word::read(words) else { return };
-        let named = |short| self.upstreams.iter().position(|up| up.short() == short && !up.id.is_empty());
-        match (word, word.upstream().and_then(named)) {
-            (Word::Dropped(rested), _) => self.believe_dropped(now, rested),
-            (Word::Sent(_), Some(u)) => self.upstreams[u].note(from, now),
-            (Word::Ended(_, _, fate), Some(u)) => self.upstreams[u].strike(from, now, fate),
-            (Word::Asks(short), Some(u)) => {
-                let (held, lost) = (self.upstreams[u].read_book(now) as u64, self.upstreams[u].lost);
-                self.host.tell(Some(from), &Word::Holds(short, held, lost).text());
-            }
-            (Word::Holds(_, held, lost), Some(u)) if from == self.keeper(u) => {
-                let upstream = &mut self.upstreams[u];
-                (upstream.held, upstream.reported, upstream.lost) = (Some(held as f64), now, lost);
-                self.heard(now, u, true);
-            }
-            _ => {}
-        }
-    }
-
-    /// Tells who keeps an upstream's book what was sent there or how it ended.
-    fn tell_keeper(&mut self, now: Micros, u: usize, ended: Option<(usize, Fate)>) {
-        let (keeper, own, short) = (self.keeper(u), self.terms.own_number, self.upstreams[u].short());
-        let word = ended.map_or(Word::Sent(short), |(use_case, fate)| Word::Ended(short, use_case, fate));
-        match ended {
-            _ if !self.terms.peers || (ended.is_none() && !self.terms.loads_untold) => {}
-            _ if keeper != own => self.host.tell(Some(keeper), &word.text()),
-            None => self.upstreams[u].note(own, now),
-            Some((_, fate)) => self.upstreams[u].strike(own, now, fate),
-        }
-    }
-
     /// Idle connections that rested so long are not used for a while.
-    fn believe_dropped(&mut self, now: Micros, rested: Micros) {
+    pub(crate) fn believe_dropped(&mut self, now: Micros, rested: Micros) {
         let least = if now < self.dropped.1 { self.dropped.0.min(rested) } else { rested };
         self.dropped = (least, now + DROPPED.0);
     }
@@ -364,14 +346,11 @@
             relative(&each.collect::<Vec<_>>(), WIDEST)
         };
         let (heard, (_, sharers)) = (self.heard_within(now), self.circle());
-        let usual = self.usual_by_kind(ready);
-        let shrunk = |up: &Upstream, own, count| self.shrunk(&usual, up.kind, own, count);
-        let latency = gather(&|_, up| shrunk(up, up.latency(now), up.answers.weight.read(now, heard)));
+        let latency = gather(&|_, up| up.latency(now));
         let capacity = gather(&|_, up| match self.terms.weights_listed {
             true => up.weight.read(),
             // Served rate per own request in flight is the inverse of the answer time.
-            false => shrunk(up, up.lasting_answers.read(), up.lasting_answers.weight.read(now, LASTING))
-                .map(f64::recip),
+            false => up.lasting_answers.read().map(f64::recip),
         });
         // An old report speaks of a load that is gone; where there is none it weighs nothing.
         let age = |up: &Upstream| now.saturating_sub(up.reported) as f64;
--- a/src/known.rs
+++ b/src/known.rs
@@ -7,22 +7,12 @@
 
 use crate::fading::{Fading, Mean};
 use crate::groups::Fared;
-use crate::words::Fate;
 use crate::{Host, Micros, Terms};
 
 /// Features of an upstream for one ticket, each about 0 for an average one: constant, own latency, reported
 /// utilisation, own in flight, capacity, same zone, reported queue.
 pub(crate) const FEATURES: usize = 7;
 
-/// How long a machine that left is known: one that comes back from a crash is as quick as before.
-const KNOWN_FOR: Micros = 60_000_000;
-
-/// Dispatches that a book holds at most, and for how long: longer than tickets take.
-/// How long a book remembers how dispatches ended.
-const FAME_HORIZON: f64 = 4e6;
-const BOOK_MOST: usize = 1024;
-const BOOKED_FOR: Micros = 4_000_000;
-
 /// One upstream as this balancer knows it. Answer times are per usual ticket.
 #[derive(Default)]
 pub(crate) struct Upstream {
@@ -180,21 +170,6 @@
     pub(crate) hint: Mean,
 }
 
-impl Pace {
-    /// Standard deviation of answer times over their mean; where none is known, as wide as may be.
-    pub(crate) fn scatter(&self) -> f64 {
-        let known = self.squares.read().zip(self.lasting.read());
-        known.map_or(f64::INFINITY, |(squares, mean)| (squares / (mean * mean) - 1.0).max(0.0).sqrt())
-    }
-
-    /// The scatter to reckon with where no hint tells the work, twice the usual at most. Before an answer was heard
-    /// none: a new balancer would else never send and never learn.
-    pub(crate) fn margin(&self) -> f64 {
-        let unhinted = self.hint.read().is_none() && self.lasting.read().is_some();
-        if unhinted { self.scatter().min(2.0) } else { 0.0 }
-    }
-}
-
 /// What is seen of the fleet and of the traffic as a whole.
 #[derive(Default)]
 pub(crate) struct Seen {
@@ -217,8 +192,6 @@
     pub(crate) by_id: HashMap<Rc<str>, usize>,
     /// All ready upstreams in this balancer's own order, the first of which it keeps to.
     pub(crate) order: Vec<usize>,
-    /// Answer times by machine type: what is heard of one tells of the others.
-    pub(crate) kinds: HashMap<u64, Mean>,
     pub(crate) tickets: HashMap<Rc<str>, Ticket>,
     pub(crate) held: Vec<Ticket>,
     /// Tickets that wait for what upstreams hold.
@@ -269,7 +242,6 @@
             upstreams: Vec::new(),
             by_id: HashMap::new(),
             order: Vec::new(),
-            kinds: HashMap::new(),
             tickets: HashMap::new(),
             held: Vec::new(),
             asking: Vec::new(),
@@ -331,59 +303,9 @@
             self.upstreams.len() - 1
         })
     }
-
-    /// Forgets upstreams that left long ago and that no open ticket can have been sent to: the list names
-    /// ever new ones.
-    pub(crate) fn forget_left(&mut self, now: Micros) {
-        for upstream in &mut self.upstreams {
-            let out = upstream.in_flight > 0;
-            upstream.ready &= upstream.left.is_none_or(|left| now < left + KNOWN_FOR);
-            if !upstream.ready && !upstream.id.is_empty() && !out && upstream.met_until + KNOWN_FOR < now {
-                self.by_id.remove(&upstream.id);
-                *upstream = Upstream::default();
-            }
-        }
-    }
 }
 
 impl Upstream {
-    /// Its name in messages between balancers.
-    pub(crate) fn short(&self) -> u64 {
-        self.hash >> 40
-    }
-
-    /// Another balancer's dispatch, where this one keeps the book.
-    pub(crate) fn note(&mut self, from: usize, now: Micros) {
-        if self.book.len() < BOOK_MOST {
-            self.book.push((from, now));
-        }
-    }
-
-    /// Another balancer's dispatch ended.
-    pub(crate) fn strike(&mut self, from: usize, now: Micros, fate: Fate) {
-        if let Some(at) = self.book.iter().position(|entry| entry.0 == from) {
-            self.book.remove(at);
-        }
-        match fate {
-            Fate::Passed => self.fame.1.add(now, FAME_HORIZON, 1.0),
-            Fate::Failed => self.fame.0.add(now, FAME_HORIZON, 1.0),
-            Fate::Neither => {}
-        }
-    }
-
-    /// Hundredth parts of what the book tells of that failed. One failure among few is no sign.
-    pub(crate) fn booked_lost(&self, now: Micros) -> u64 {
-        let (failed, succeeded) = (self.fame.0.read(now, FAME_HORIZON), self.fame.1.read(now, FAME_HORIZON));
-        (100.0 * failed / (failed + succeeded + 1.0)) as u64
-    }
-
-    /// What it holds by the book. A word that was lost must not count for ever.
-    pub(crate) fn read_book(&mut self, now: Micros) -> usize {
-        self.book.retain(|entry| entry.1 + BOOKED_FOR > now);
-        (self.held, self.reported, self.lost) = (Some(self.book.len() as f64), now, self.booked_lost(now));
-        self.book.len()
-    }
-
     /// No longer named. Where that does not bind, it is suspect until it answers or is named again.
     pub(crate) fn drop_out(&mut self, now: Micros, stays_open: bool) {
         match stays_open {
@@ -401,10 +323,4 @@
     pub(crate) fn silent_for(&self, now: Micros) -> f64 {
         self.unanswered_since.map_or(0.0, |since| now.saturating_sub(since) as f64)
     }
-
-    /// Smoothed answer time, or how long it has been silent if that is more: a hung upstream must not
-    /// look idle.
-    pub(crate) fn latency(&self, now: Micros) -> Option<f64> {
-        self.answers.read().map(|answers| answers.max(self.silent_for(now)))
-    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //! This file holds the words they share and decides nothing.
 
 mod arithmetic;
+mod books;
 mod decide;
 mod fading;
 mod groups;
