Near upstreams first where loads are not asked for; none goes back to where it failed

The report has 75 to 175 dispatches timed out in each 5 s from the start of the slow link, and the latest hundredth at 1.2 s, while no upstream is slow or turns away: of three in a circle one was across. Ruled out: load (nothing refused), single upstreams (errors 5 to 12 at all times). draw_order took two near ones for each far one. It should hold against any trouble between locations, and hurts where one location has far more traffic than upstreams.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -85,8 +85,8 @@
 
 /// Upstreams asked for each ticket, and the part of the promised time to wait for answers.
 const ASKED: usize = 5;
-/// What an upstream that holds nothing counts as holding: with one core, and with several (weights listed).
-const IDLE: (f64, f64) = (0.2, 0.5);
+/// What an upstream that holds nothing counts as holding.
+const IDLE: f64 = 0.2;
 const ASK_PART: Micros = 20;
 /// Waits for answers that loads stand after a ticket found none in time.
 const STANDS: Micros = 4;
@@ -159,8 +159,10 @@
         let own = self.terms.own_number as f64 * RING.1;
         let [mut near, mut far] = [near, far].map(|ring| scattered(ring, own).into_iter().peekable());
         self.order.clear();
+        // What is asked for its load costs little where it is far; else the way there costs all that goes it.
+        let together = if self.asks() { RING.0 } else { usize::MAX };
         while near.peek().is_some() || far.peek().is_some() {
-            self.order.extend(near.by_ref().take(RING.0).chain(far.by_ref().take(1)));
+            self.order.extend(near.by_ref().take(together).chain(far.by_ref().take(1)));
         }
     }
 
@@ -361,9 +363,8 @@
         let busy = gather(&|_, up| up.utilisation.map(|busy| busy + 0.1));
         // Own work in flight, and of what is reported the part that is the other balancers'.
         let others = |i: usize, up: &Upstream| (1.0 - 1.0 / sharers) * fresh[i] * up.queue.unwrap_or(0.0);
-        let idle = if self.terms.weights_listed { IDLE.1 } else { IDLE.0 };
         let in_flight = gather(&|i, up| match up.held.filter(|_| self.asks()) {
-            Some(held) => Some(idle + held * fresh[i]),
+            Some(held) => Some(IDLE + held * fresh[i]),
             None => Some(0.5 + up.work_in_flight + others(i, up)),
         });
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
@@ -583,7 +584,7 @@
     /// The candidates to draw from: the first of the own order that are open.
     fn candidates(&mut self, now: Micros, ticket: &Ticket) -> Vec<usize> {
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
-        let (mut ready, mut met) = (Vec::new(), Vec::new());
+        let mut ready = Vec::new();
         let silence = self.silence();
         for &u in &self.order {
             if ready.len() >= self.circle().0 {
@@ -595,17 +596,11 @@
             let up = &self.upstreams[u];
             // Of what is silent one at a time shows whether it still is.
             let tried = up.used.is_some_and(|used| (now as f64) < used as f64 + silence);
-            if !open || !self.has_room(now, u) || (up.silent_for(now) > silence && tried) {
-                continue;
-            } else if ticket.dispatches.iter().any(|d| d.upstream == u) {
-                met.push(u);
-            } else {
+            let met = ticket.dispatches.iter().any(|d| d.upstream == u);
+            if open && !met && self.has_room(now, u) && !(up.silent_for(now) > silence && tried) {
                 ready.push(u);
             }
         }
-        if ready.is_empty() {
-            return met;
-        }
         // Ties would fall to whoever comes first, again and again.
         let turn = self.chance.generate_range(0..ready.len().max(1));
         ready.rotate_left(turn);
