Held only with three upstreams to itself; lone dispatches end early only where answers are lost

With ten balancers before twenty upstreams the place that comes free goes to another balancer's ticket, while the held one adds to what is waiting there.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,6 +50,8 @@
 
 /// Parts of its time that a dispatch which nothing can join or end waits, and how much less where some fail.
 const LONE: (f64, f64, f64) = (0.45, 0.85, 1.5);
+/// Hundredth parts lost at an upstream beyond which it expires: less is chance, and long work would end for it.
+const LONE_LOST: u64 = 10;
 /// Expected answer times that it waits at least.
 const LONE_LEAST: f64 = 3.0;
 
@@ -69,6 +71,8 @@
 const HEARD_PRIOR: f64 = 0.5;
 /// How often held tickets are looked at.
 const PUMP_EVERY: Micros = 10_000;
+/// Upstreams for each balancer from which on tickets are held: the places that come free are then its own.
+const HOLDS: f64 = 3.0;
 /// Part of a ticket's spare time that the queue before it may take, also beyond its share: longer ones stand.
 const HELD_PART: (f64, f64) = (0.15, 0.04);
 /// Expected answer times after which a dismissed ticket may come back, and left to a held one when sent.
@@ -166,6 +170,11 @@
         }
     }
 
+    /// Upstreams for each balancer.
+    fn own(&self) -> f64 {
+        self.order.len() as f64 / self.terms.balancers as f64
+    }
+
     /// How many upstreams this balancer keeps to, and how many balancers keep to each.
     pub(crate) fn circle(&self) -> (usize, f64) {
         let (ready, balancers) = (self.order.len(), self.terms.balancers);
@@ -205,8 +214,7 @@
         self.ease = ease.max(0.0);
         self.let_through = (self.let_through * (1.0 + THINNING.0 * ease)).clamp(THROUGH.0, 1.0);
         // With several upstreams to itself, or loads to ask for, a balancer needs no guess.
-        let own =
-            if self.asks() { f64::INFINITY } else { self.order.len() as f64 / self.terms.balancers as f64 };
+        let own = if self.asks() { f64::INFINITY } else { self.own() };
         let let_through = 1.0 - (1.0 - self.let_through) / (1.0 + own.powi(4));
         // Beyond the share gives way first.
         let part = if within_share { let_through } else { 2.0 * let_through - 1.0 };
@@ -401,11 +409,12 @@
         }
         ticket.dispatches.push(Dispatch { rested, before, ..Dispatch::new(u, now, scene) });
         let id = Rc::clone(&upstream.id);
-        // Where a dispatch can be neither joined nor called off, it ends by itself in time for another.
-        let lone = !self.copies(ticket) && !self.terms.may_call_off && self.redone(ticket);
+        // Where a dispatch can be neither joined nor called off and answers get lost, it ends in time for another.
+        let lost = self.upstreams[u].lost.min(100);
+        let lone =
+            lost > LONE_LOST && !self.copies(ticket) && !self.terms.may_call_off && self.redone(ticket);
         let spare = ticket.promised.saturating_sub(now) as f64;
-        let share = self.upstreams[u].lost.min(100) as f64 / 100.0;
-        let least = spare * (LONE.1 - LONE.2 * share).max(LONE.0);
+        let least = spare * (LONE.1 - LONE.2 * lost as f64 / 100.0).max(LONE.0);
         let usual = LONE_LEAST * self.expected(ticket.use_case);
         let patience = usual.max(least).min(LONE.1 * spare).max(PUMP_EVERY as f64) as Micros;
         let expire_at = if lone { (now + patience).min(ticket.hard_stop) } else { ticket.hard_stop };
@@ -671,7 +680,8 @@
         // With nothing to spare a ticket is not even held until the next look: its hard stop may come first.
         let slack = self.last_start(now, &ticket) as f64 - now as f64;
         let part = if ticket.within_share { HELD_PART.0 } else { HELD_PART.1 };
-        if slack <= 0.0 || wait > part * slack {
+        // Where others fill the places that come free, holding only makes for later ones.
+        if slack <= 0.0 || wait > part * slack || self.own() < HOLDS {
             return self.give_up(now, ticket);
         }
         self.held.insert(place, ticket);
