Doubling rests, what cold upstreams told, and hysteresis are out; never two copies out

As no copies are sent, the code for two dispatches out at once went as well; secondCopies of the settings is no longer read.

--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -87,12 +87,7 @@
 
 impl Balancer {
     pub fn new(
-        day: &Day,
-        seed: u64,
-        number: usize,
-        binary: &Path,
-        folder: &Path,
-        discovery: SocketAddr,
+        day: &Day, seed: u64, number: usize, binary: &Path, folder: &Path, discovery: SocketAddr,
     ) -> io::Result<Self> {
         // Nobody else takes the port meanwhile unless the machine is short of them; then the start says so.
         let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -252,12 +252,7 @@
 
 /// Writes a ticket and waits for its answer. Nothing where a kept connection ended without a byte.
 async fn exchange(
-    load: &Load,
-    pools: &Pools,
-    balancer: usize,
-    ticket: &Ticket,
-    text: &[u8],
-    mut stream: TcpStream,
+    load: &Load, pools: &Pools, balancer: usize, ticket: &Ticket, text: &[u8], mut stream: TcpStream,
     kept: bool,
 ) -> Option<End> {
     let world = &load.world;
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -48,11 +48,7 @@
 
 /// Where a body ends; nothing while part is missing. `ended`: no more will come.
 fn body_end(
-    kept: &[u8],
-    head: usize,
-    fields: &[Header],
-    ended: bool,
-    unsaid: Unsaid,
+    kept: &[u8], head: usize, fields: &[Header], ended: bool, unsaid: Unsaid,
 ) -> io::Result<Option<usize>> {
     if let Some(length) = field(fields, "content-length") {
         let length: usize = length.parse().map_err(|_| bad("a length that is no number"))?;
@@ -202,8 +198,7 @@
     #[case(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", Some((200, 57..57, false)))]
     #[case(b"HTTP/1.1 200 OK\r\n\r\nab", None)]
     fn answers_are_read_whole(
-        #[case] text: &[u8],
-        #[case] wanted: Option<(u16, std::ops::Range<usize>, bool)>,
+        #[case] text: &[u8], #[case] wanted: Option<(u16, std::ops::Range<usize>, bool)>,
     ) {
         let found = answered(text, false).unwrap().map(|found| (found.status, found.body, found.lasts));
         assert_eq!(found, wanted);
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -183,9 +183,7 @@
 
 /// Kills, stops and starts balancers as the day says.
 async fn balancer_events(
-    load: Arc<Load>,
-    children: Arc<Mutex<Vec<Balancer>>>,
-    mut events: mpsc::UnboundedReceiver<What>,
+    load: Arc<Load>, children: Arc<Mutex<Vec<Balancer>>>, mut events: mpsc::UnboundedReceiver<What>,
 ) {
     while let Some(what) = events.recv().await {
         let (load, children) = (Arc::clone(&load), Arc::clone(&children));
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -34,12 +34,7 @@
 
 /// Curves over the seconds of a day, with faults as bands behind them.
 fn plot(
-    curves: &[Curve],
-    length: f64,
-    faults: &[(f64, f64)],
-    most: f64,
-    unit: &str,
-    legend: SeriesLabelPosition,
+    curves: &[Curve], length: f64, faults: &[(f64, f64)], most: f64, unit: &str, legend: SeriesLabelPosition,
 ) -> Result<String, String> {
     let mut svg = String::new();
     {
--- a/lab/src/standing.rs
+++ b/lab/src/standing.rs
@@ -21,11 +21,7 @@
 const LOOKS_APART: Duration = Duration::from_millis(100);
 
 pub fn stand_alone(
-    day: &Day,
-    page: SocketAddr,
-    listen: SocketAddr,
-    config: &Path,
-    over: &AtomicBool,
+    day: &Day, page: SocketAddr, listen: SocketAddr, config: &Path, over: &AtomicBool,
 ) -> Result<(), String> {
     let runtime = runtime().map_err(|problem| format!("cannot start threads: {problem}"))?;
     let world = Arc::new(World::new(day.clone(), day.seed));
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -177,12 +177,7 @@
 
     /// A dispatch came whole to a server. What comes of it is sent when it is known.
     pub fn sent(
-        &self,
-        stand: &Stand,
-        known: Option<u64>,
-        ticket: &Ticket,
-        began: Micros,
-        extra: f64,
+        &self, stand: &Stand, known: Option<u64>, ticket: &Ticket, began: Micros, extra: f64,
     ) -> (u64, oneshot::Receiver<How>) {
         let now = self.now();
         let job = self.jobs.fetch_add(1, Ordering::Relaxed);
--- a/model/src/check.rs
+++ b/model/src/check.rs
@@ -415,8 +415,7 @@
     #[case(1, Some("names balancer 1"))]
     #[case(5, None)]
     fn another_number_of_balancers_must_fit_the_faults(
-        #[case] balancers: usize,
-        #[case] wanted: Option<&str>,
+        #[case] balancers: usize, #[case] wanted: Option<&str>,
     ) {
         let fault = "[[faults]]\nkind = 'balancer_killed'\nat = '1s'\nfor = '1s'\nbalancers = [1]";
         let mut day = read(&format!("{HEAD}{fault}"), "d.toml").unwrap();
--- a/model/src/traffic.rs
+++ b/model/src/traffic.rs
@@ -137,11 +137,7 @@
 /// The next try after one that was dismissed or abandoned, under a number of its own: nothing where the client has
 /// tried often enough. `come_back` is what the answer asked for.
 pub fn again(
-    day: &Day,
-    ticket: &Ticket,
-    number: u64,
-    now: Micros,
-    come_back: Option<Micros>,
+    day: &Day, ticket: &Ticket, number: u64, now: Micros, come_back: Option<Micros>,
 ) -> Option<Ticket> {
     if ticket.tries > day.traffic.retries || ticket.leaves_after.is_some() {
         return None;
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -58,11 +58,7 @@
 
 /// Opens the listener and makes the node. The module's first calls come only after all stands.
 pub fn open(
-    handle: LoopHandle<'static, Node>,
-    pipe: &Pipe,
-    told: &Value,
-    place: Place,
-    terms: Terms,
+    handle: LoopHandle<'static, Node>, pipe: &Pipe, told: &Value, place: Place, terms: Terms,
 ) -> Decoded<Node> {
     let log = pipe.logger(slog::Level::Info);
     let listener =
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -31,9 +31,7 @@
 impl Wired {
     /// Gives a socket its place in the loop: `ready` is called whenever it may be read from or written to.
     pub fn new(
-        handle: &LoopHandle<'static, Node>,
-        stream: TcpStream,
-        ready: impl Fn(&mut Node) + 'static,
+        handle: &LoopHandle<'static, Node>, stream: TcpStream, ready: impl Fn(&mut Node) + 'static,
     ) -> io::Result<Self> {
         let stream = Rc::new(stream);
         let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
--- a/node/src/wire/answers.rs
+++ b/node/src/wire/answers.rs
@@ -21,12 +21,7 @@
 
 impl Node {
     pub fn take_answer(
-        &mut self,
-        slot: LinkSlot,
-        head: usize,
-        body: &[Range<usize>],
-        end: usize,
-        whole: bool,
+        &mut self, slot: LinkSlot, head: usize, body: &[Range<usize>], end: usize, whole: bool,
     ) {
         let mut borrowed = self.desk.borrow_mut();
         let desk = &mut *borrowed;
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -141,8 +141,7 @@
 #[case::part_of_a_request("POST /pay", 1)]
 #[case::what_is_turned_away("POST /pay HTTP/1.1\r\n\r\n", 2)]
 fn without_a_ticket_a_connection_has_no_time_but_that_since_it_was_opened(
-    #[case] sent: &str,
-    #[case] hung: usize,
+    #[case] sent: &str, #[case] hung: usize,
 ) {
     let mut stand = Stand::new();
     let (client, slot) = stand.client();
@@ -161,10 +160,7 @@
 #[case::for_long(10, 1, IDLE_MOST, false)]
 #[case::never_brought_a_ticket(10, 0, FIRST_WITHIN, false)]
 fn a_standing_connection_goes_where_many_stand(
-    #[case] most: usize,
-    #[case] tickets: u64,
-    #[case] stood: Micros,
-    #[case] stays: bool,
+    #[case] most: usize, #[case] tickets: u64, #[case] stood: Micros, #[case] stays: bool,
 ) {
     let mut stand = Stand::new();
     let (_client, slot) = stand.client();
--- a/node/src/wire/discovery/tests.rs
+++ b/node/src/wire/discovery/tests.rs
@@ -83,8 +83,7 @@
 #[case::no_longer_than_that(Some(60_000_000), WATCH_MOST)]
 #[case::asked_anew_in_time(Some(10_000_000), 7_500_000)]
 fn a_watch_waits_no_longer_than_we_may_go_without_asking(
-    #[case] within: Option<Micros>,
-    #[case] wait: Micros,
+    #[case] within: Option<Micros>, #[case] wait: Micros,
 ) {
     assert_eq!(watch_wait(within), wait);
     assert!(within.is_none_or(|within| wait + OVERDUE + CONNECT_WITHIN <= within));
@@ -147,9 +146,7 @@
 #[case::just_asked(DOUBT_AFTER / 2, 0, false)]
 #[case::doubted_in_vain(DOUBT_AFTER, 1, false)]
 fn a_watch_is_doubted_where_an_upstream_in_the_list_refuses(
-    #[case] out: Micros,
-    #[case] doubts: u32,
-    #[case] anew: bool,
+    #[case] out: Micros, #[case] doubts: u32, #[case] anew: bool,
 ) {
     let mut stand = Stand::new();
     let first = call(&mut stand);
--- a/node/src/wire/heads/tests.rs
+++ b/node/src/wire/heads/tests.rs
@@ -22,8 +22,7 @@
 #[case::unknown_coding(&[("Transfer-Encoding", "gzip, chunked")], Err(Conflicting))]
 #[case::beyond_numbers(&[("Content-Length", "99999999999999999999999")], Ok(Framing::Length(usize::MAX)))]
 fn a_message_has_one_framing_or_is_conflicting(
-    #[case] fields: &[(&str, &str)],
-    #[case] expected: Result<Framing, Conflicting>,
+    #[case] fields: &[(&str, &str)], #[case] expected: Result<Framing, Conflicting>,
 ) {
     let fields: Vec<_> = fields.iter().map(|(name, value)| named(name, value)).collect();
     assert_eq!(framing(&fields), expected);
@@ -46,10 +45,7 @@
 #[case::wrong_end("ab3\r\nxyzab", Framing::Chunked, false, Body::Nonsense)]
 #[case::no_size("abzz\r\n", Framing::Chunked, false, Body::Nonsense)]
 fn a_body_is_found_by_its_framing(
-    #[case] bytes: &str,
-    #[case] framing: Framing,
-    #[case] ended: bool,
-    #[case] expected: Body,
+    #[case] bytes: &str, #[case] framing: Framing, #[case] ended: bool, #[case] expected: Body,
 ) {
     assert_eq!(body(bytes.as_bytes(), 2, framing, ended, 10), expected);
 }
--- a/node/src/wire/peers.rs
+++ b/node/src/wire/peers.rs
@@ -45,9 +45,7 @@
 
     /// A new ear for an address, where this one does not stand there already.
     pub fn moved(
-        ear: Option<&Self>,
-        handle: &LoopHandle<'static, Node>,
-        address: Option<SocketAddr>,
+        ear: Option<&Self>, handle: &LoopHandle<'static, Node>, address: Option<SocketAddr>,
     ) -> io::Result<Option<Self>> {
         match (ear, address) {
             (Some(ear), Some(address)) if ear.address == address => Ok(None),
--- a/node/src/wire/peers/tests.rs
+++ b/node/src/wire/peers/tests.rs
@@ -42,10 +42,7 @@
 #[case::too_long(true, &"x".repeat(300), 0, 1)]
 #[case::no_sense(true, "~ ~ ~", 1, 0)]
 fn only_balancers_are_heard(
-    #[case] known: bool,
-    #[case] word: &str,
-    #[case] heard: u64,
-    #[case] passed: u64,
+    #[case] known: bool, #[case] word: &str, #[case] heard: u64, #[case] passed: u64,
 ) {
     let (mut stand, other, own) = two();
     let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -104,12 +104,7 @@
 
 impl Desk {
     pub fn open(
-        &mut self,
-        slot: ClientSlot,
-        id: &str,
-        message: &Bytes,
-        asked: &Request,
-        body: &[Range<usize>],
+        &mut self, slot: ClientSlot, id: &str, message: &Bytes, asked: &Request, body: &[Range<usize>],
     ) -> Rc<str> {
         let part = |text: Option<&str>| message.slice(heads::place(message, text.unwrap_or("").as_bytes()));
         let (space, version) = (Bytes::from_static(b" "), Bytes::from_static(b" HTTP/1.1\r\n"));
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -90,9 +90,7 @@
 #[case::not_written(true, false, "unreachable 1")]
 #[case::written(true, true, "silent 1")]
 fn what_time_ran_out_on_is_proven_not_run_only_while_unwritten(
-    #[case] connected: bool,
-    #[case] written: bool,
-    #[case] ending: &str,
+    #[case] connected: bool, #[case] written: bool, #[case] ending: &str,
 ) {
     let mut stand = Stand::new();
     let _upstream = stand.upstream("s1");
@@ -183,9 +181,7 @@
 #[case::called_off_late(LONG, |stand: &mut Stand, _| Hands(stand.node.desk.clone()).call_off("t2", 0), 0)]
 #[case::called_off_early(0, |stand: &mut Stand, _| Hands(stand.node.desk.clone()).call_off("t2", 0), 1)]
 fn doubt_about_one_connection_ends_the_idle_ones(
-    #[case] waited: Micros,
-    #[case] act: fn(&mut Stand, LinkSlot),
-    #[case] left: usize,
+    #[case] waited: Micros, #[case] act: fn(&mut Stand, LinkSlot), #[case] left: usize,
 ) {
     let mut stand = Stand::new();
     let upstream = stand.upstream("s1");
--- a/src/arithmetic.rs
+++ b/src/arithmetic.rs
@@ -24,15 +24,8 @@
 pub(crate) fn relative(values: &[Option<f64>], widest: f64) -> Vec<f64> {
     let known = values.iter().flatten().count().max(1) as f64;
     let mean = values.iter().flatten().sum::<f64>() / known;
-    // Of many values most are the one before again: idle upstreams are alike.
-    let mut before = (f64::NAN, 0.0);
     let log = |value: &Option<f64>| match value {
-        Some(value) if mean > 0.0 => {
-            if *value != before.0 {
-                before = (*value, (value / mean).max(1e-3).ln().clamp(-widest, widest));
-            }
-            before.1
-        }
+        Some(value) if mean > 0.0 => (value / mean).max(1e-3).ln().clamp(-widest, widest),
         _ => 0.0,
     };
     values.iter().map(log).collect()
@@ -61,10 +54,8 @@
 pub(crate) fn slope(weights: &[f64; FEATURES], scene: &Scene, m: usize) -> Option<(f64, [f64; FEATURES])> {
     let raw: Vec<f64> = scene.rows.iter().map(|row| dot(weights, row)).collect();
     // Of the rest is what lies below the last of the top, so that ties with it count as top.
-    let mut sorted = raw.clone();
-    let falling = |a: &f64, b: &f64| b.total_cmp(a);
-    let last = m.checked_sub(1).map(|last| *sorted.select_nth_unstable_by(last, falling).1);
-    let in_rest = |place: usize| last.is_none_or(|last| raw[place] < last);
+    let last = *raw.clone().select_nth_unstable_by(m - 1, |a, b| b.total_cmp(a)).1;
+    let in_rest = |place: usize| raw[place] < last;
     if in_rest(scene.drawn) {
         return None;
     }
@@ -88,11 +79,7 @@
 
 /// The clipped policy step (eq. 5 and 6 of the paper) over outcomes, `usual` being the payoff that is no advantage.
 pub(crate) fn clipped_step(
-    weights: &[f64; FEATURES],
-    samples: &[(Scene, f64)],
-    usual: f64,
-    clip: f64,
-    top: impl Fn(usize) -> usize,
+    weights: &[f64; FEATURES], samples: &[(Scene, f64)], usual: f64, clip: f64, top: impl Fn(usize) -> usize,
 ) -> [f64; FEATURES] {
     let mut step = [0.0; FEATURES];
     for (scene, payoff) in samples {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,13 +1,9 @@
-//! Every decision of the balancer. [`Balancer::start`] takes the [`Host`] it acts through (`lib.rs`); then
-//! a method is called for each thing that happens, with the time, and acts by calling the host. The ordinary
-//! path is `place`, or `ask` and `place_asked` (`docs/design.md`); each dispatch passes `send`, `permitted`
-//! keeps the rules there. Beside the path stand six mechanisms:
-//! 1. following the list and drains (`list_*`);
-//! 2. the cold allowance (`cold_budget`);
-//! 3. suspicion of silent or failing upstreams, and trials (`suspect`); or what books tell (`noted`);
-//! 4. further dispatches and patience (`may_spend_more`, `patience_ran_out`);
-//! 5. the in-flight limit, and holding or dismissing beyond it (`admit`, `pump`);
-//! 6. account shares under pressure (`within_share`).
+//! Every decision of the balancer. [`Balancer::start`] takes the [`Host`] it acts through (`lib.rs`); then a method is
+//! called for each thing that happens, with the time. The ordinary path is `place`, or `ask` and `place_asked`
+//! (`docs/design.md`); each dispatch passes `send`, `permitted` keeps the rules there. Beside it stand six mechanisms:
+//! list and drains (`list_*`), the cold allowance (`cold_budget`), what is silent or failed (`silence`, `ended`), the
+//! in-flight limit with holding and the share let through (`admit`, `pump`), shares of accounts (`within_share`), and
+//! groups that drag (`groups.rs`). Order by key (`turns.rs`) is a rule.
 
 use std::rc::Rc;
 
@@ -29,9 +25,9 @@
 /// Bound of ratios' logarithms and of payoffs over the usual: no single reading decides alone.
 const WIDEST: f64 = 3.0;
 /// Fewest balancers that keep to an upstream and upstreams that one keeps to, also where loads are asked for;
-/// near ones for each far one, and an irrational part of a ring between neighbours' starts.
+/// balancers for which that many more keep to an upstream; an irrational part of a ring between neighbours' starts.
 const CIRCLE: (usize, usize, usize, usize) = (2, 2, 6, 4);
-const RING: (usize, f64) = (2, 0.618_033_988_749_895);
+const RING: f64 = 0.618_033_988_749_895;
 const STEP: f64 = 0.1;
 const CLIP: f64 = 0.2; // the paper's ε
 const EPOCHS: usize = 2;
@@ -43,8 +39,8 @@
 
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
 const SILENT: f64 = 4.0;
-/// Part of a usual answer time that an upstream rests after a failure, and its doublings while nothing succeeds.
-const REST: (f64, u32) = (0.5, 6);
+/// Part of a usual answer time that an upstream rests after a failure.
+const REST: f64 = 0.5;
 /// A failure counts as an answer this many times as late as usual, or as late as it was.
 const FAILURE_LATENCY: f64 = 3.0;
 
@@ -81,8 +77,6 @@
 
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
 const COLD: (f64, f64) = (0.6, 0.5);
-/// Part of the budget that may be held where all of it was told, and part of the fall time it is fresh for.
-const COLD_TOLD: (f64, Micros) = (0.25, 16);
 
 /// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
 const FOLLOW: (f64, f64) = (0.8, 32.0);
@@ -100,8 +94,6 @@
 /// promised time within which it is found: a crash takes longer.
 const DROPPED: (Micros, Micros, Micros) = (15_000_000, 200_000, 100);
 
-/// How long a machine that left is known: one that comes back from a crash is as quick as before.
-const KNOWN_FOR: Micros = 60_000_000;
 const FOLLOW_ALARM: u64 = 0;
 const PUMP_ALARM: u64 = 1;
 
@@ -138,19 +130,6 @@
         self.pump(now);
     }
 
-    /// Forgets upstreams that left long ago and that no open ticket can have been sent to: the list names
-    /// ever new ones.
-    pub(crate) fn forget_left(&mut self, now: Micros) {
-        for upstream in &mut self.upstreams {
-            let out = upstream.in_flight > 0;
-            upstream.ready &= upstream.left.is_none_or(|left| now < left + KNOWN_FOR);
-            if !upstream.ready && !upstream.id.is_empty() && !out && upstream.met_until + KNOWN_FOR < now {
-                self.by_id.remove(&upstream.id);
-                *upstream = Upstream::default();
-            }
-        }
-    }
-
     /// Balancers that see little keep to a few upstreams, from evenly spread starts on the common ring.
     pub(crate) fn draw_order(&mut self) {
         let mut ring: Vec<usize> = (0..self.upstreams.len()).filter(|&u| self.upstreams[u].ready).collect();
@@ -158,16 +137,11 @@
             return;
         }
         ring.sort_by_key(|&u| (self.upstreams[u].hash, u));
-        let (near, far): (Vec<_>, Vec<_>) =
-            ring.into_iter().partition(|&u| self.upstreams[u].zone == self.terms.zone);
-        let own = self.terms.own_number as f64 * RING.1;
-        let [mut near, mut far] = [near, far].map(|ring| scattered(ring, own).into_iter().peekable());
-        self.order.clear();
-        // What is asked for its load costs little where it is far; else the way there costs all that goes it.
-        let together = if self.asks() { RING.0 } else { usize::MAX };
-        while near.peek().is_some() || far.peek().is_some() {
-            self.order.extend(near.by_ref().take(together).chain(far.by_ref().take(1)));
-        }
+        // A far one costs the way there; where loads are asked for, the drawing weighs that against what it holds.
+        let is_near = |u: &usize| self.asks() || self.upstreams[*u].zone == self.terms.zone;
+        let (near, far): (Vec<_>, Vec<_>) = ring.into_iter().partition(is_near);
+        let own = self.terms.own_number as f64 * RING;
+        self.order = [near, far].into_iter().flat_map(|ring| scattered(ring, own)).collect();
     }
 
     /// Upstreams for each balancer.
@@ -186,14 +160,8 @@
 
     #[allow(clippy::too_many_arguments)]
     pub fn ticket_arrived(
-        &mut self,
-        now: Micros,
-        id: &str,
-        use_case: usize,
-        account: usize,
-        hard_stop: Micros,
-        hint: Option<Micros>,
-        key: Option<u64>,
+        &mut self, now: Micros, id: &str, use_case: usize, account: usize, hard_stop: Micros,
+        hint: Option<Micros>, key: Option<u64>,
     ) {
         let Some(promised) = self.terms.use_cases.get(use_case).map(|c| now + c.promised_time) else {
             return self.host.dismiss(id, 0);
@@ -411,8 +379,7 @@
         let id = Rc::clone(&upstream.id);
         // Where a dispatch can be neither joined nor called off and answers get lost, it ends in time for another.
         let lost = self.upstreams[u].lost.min(100);
-        let lone =
-            lost > LONE_LOST && !self.copies(ticket) && !self.terms.may_call_off && self.redone(ticket);
+        let lone = lost > LONE_LOST && !self.terms.may_call_off && self.redone(ticket);
         let spare = ticket.promised.saturating_sub(now) as f64;
         let least = spare * (LONE.1 - LONE.2 * lost as f64 / 100.0).max(LONE.0);
         let usual = LONE_LEAST * self.expected(ticket.use_case);
@@ -433,8 +400,7 @@
     /// The four rules for one more dispatch of a ticket to an upstream.
     fn permitted(&self, now: Micros, ticket: &Ticket, u: usize) -> bool {
         let (_, spent, budget) = self.cold_budget(now, u);
-        let cold = spent + ticket.work <= budget + COLD.1 || self.cold_room(now, u);
-        cold && self.open_to(now, ticket, u)
+        spent + ticket.work <= budget + COLD.1 && self.open_to(now, ticket, u)
     }
 
     /// The rules but for the cold.
@@ -443,7 +409,7 @@
         let open = now < ticket.hard_stop
             && !ticket.streaming
             && ticket.dispatches.len() < self.terms.most_dispatches.min(ticket.most_dispatches)
-            && (self.copies(ticket) || ticket.dispatches.iter().all(|d| !d.out));
+            && ticket.dispatches.iter().all(|d| !d.out);
         let mut ran = ticket.dispatches.iter().filter(|d| d.may_have_run);
         let again = match self.terms.use_cases[ticket.use_case].effect {
             Effect::Redoable => true,
@@ -467,7 +433,7 @@
         ticket.line.into_iter().for_each(|key| self.end_in_line(now, key, how));
         self.ended(now, &mut ticket, n, how, took);
         if last {
-            self.close(now, ticket, n);
+            self.close(now, ticket);
         } else if ticket.dispatches.iter().any(|d| d.out) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
         } else {
@@ -491,7 +457,7 @@
         let lists = [&mut self.held, &mut self.asking].into_iter().chain(lines);
         let waiting = lists.flat_map(|list| list.extract_if(.., |ticket| *ticket.id == *id)).next();
         if let Some(ticket) = self.tickets.remove(id).or(waiting) {
-            self.close(now, ticket, 0);
+            self.close(now, ticket);
             self.pump(now);
         }
     }
@@ -508,29 +474,21 @@
             true => self.host.dismiss(&ticket.id, soon.min(self.terms.longest_come_back)),
             false => self.host.abandon(&ticket.id),
         }
-        self.close(now, ticket, 0);
+        self.close(now, ticket);
     }
 
-    /// Stops what is still out for a ticket that is answered. One overtaken by a later copy was silent.
-    fn close(&mut self, now: Micros, mut ticket: Ticket, answered: usize) {
-        for number in 0..ticket.dispatches.len() {
-            let dispatch = &ticket.dispatches[number];
-            if dispatch.out {
-                let ending = if number < answered { Ending::Silent } else { Ending::CalledOff };
-                let waited = now.saturating_sub(dispatch.sent);
-                self.call_off(&ticket, number);
-                self.ended(now, &mut ticket, number, ending, waited);
+    /// Stops what is still out for a ticket that is answered.
+    fn close(&mut self, now: Micros, mut ticket: Ticket) {
+        if let Some(number) = ticket.dispatches.iter().position(|d| d.out) {
+            if self.terms.may_call_off {
+                self.host.call_off(&ticket.id, number);
             }
+            let waited = now.saturating_sub(ticket.dispatches[number].sent);
+            self.ended(now, &mut ticket, number, Ending::CalledOff, waited);
         }
         self.leave_line(now, &ticket);
     }
 
-    fn call_off(&mut self, ticket: &Ticket, number: usize) {
-        if self.terms.may_call_off {
-            self.host.call_off(&ticket.id, number);
-        }
-    }
-
     pub fn alarm_rang(&mut self, now: Micros, alarm: u64) {
         match alarm {
             FOLLOW_ALARM => self.host.follow_list(),
@@ -581,15 +539,6 @@
         (span, if spent_in == span { spent } else { 0.0 }, (budget + chance).floor())
     }
 
-    /// Whether a cold upstream that just told what it holds of all balancers holds little for its budget.
-    fn cold_room(&self, now: Micros, u: usize) -> bool {
-        let (upstream, warming) = (&self.upstreams[u], &self.terms.warming);
-        let fresh = self.asks() && now < upstream.reported + warming.span / COLD_TOLD.1;
-        let Some(held) = upstream.held.filter(|_| fresh) else { return false };
-        let done = warming.span as f64 / self.each(now, u);
-        held + 1.0 <= COLD_TOLD.0 * COLD.0 * warming.multiple * done
-    }
-
     /// The candidates to draw from: the first of the own order that are open.
     fn candidates(&mut self, now: Micros, ticket: &Ticket) -> Vec<usize> {
         self.warm = self.order.iter().filter(|&&u| !self.is_cold(now, u)).count();
@@ -599,9 +548,7 @@
             if ready.len() >= self.circle().0 {
                 break;
             }
-            // What a cold one holds has to be asked for first.
-            let open =
-                if self.asks() { self.open_to(now, ticket, u) } else { self.permitted(now, ticket, u) };
+            let open = self.permitted(now, ticket, u);
             let up = &self.upstreams[u];
             // Of what is silent one at a time shows whether it still is.
             let tried = up.used.is_some_and(|used| (now as f64) < used as f64 + silence);
@@ -723,12 +670,7 @@
 
     /// Takes in how a dispatch ended.
     pub(crate) fn ended(
-        &mut self,
-        now: Micros,
-        ticket: &mut Ticket,
-        number: usize,
-        ending: Ending,
-        took: Micros,
+        &mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros,
     ) {
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else { return };
         let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
@@ -785,13 +727,11 @@
         }
         let mut payoff = 0.0;
         if ending == Ending::Succeeded {
-            (upstream.left, upstream.failures) = (None, 0);
+            upstream.left = None;
             self.learn(now, ticket, number, took, answer, cold);
             payoff = (all / answer).min(WIDEST);
         } else {
-            let rest = REST.0 * pace.present.read().unwrap_or(0.0) * f64::from(1 << upstream.failures);
-            upstream.full_until = now + rest as Micros;
-            upstream.failures = (upstream.failures + 1).min(REST.1);
+            upstream.full_until = now + (REST * pace.present.read().unwrap_or(0.0)) as Micros;
             // A fast failure must not make an upstream look quick.
             answer = answer.max(FAILURE_LATENCY * all);
         }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -67,7 +67,6 @@
         ask_within: Some(8_000 * MS),
         weights_listed: false,
         may_call_off: true,
-        second_copies: true,
         loads_probed: false,
         loads_untold: false,
         peers: false,
@@ -189,10 +188,7 @@
 #[case::used_up(Effect::Redoable, &[0, 1, 2], 3, 100, false)]
 #[case::too_late(Effect::Redoable, &[0], 1, 5_000, false)]
 fn no_effect_twice(
-    #[case] effect: Effect,
-    #[case] met: &[usize],
-    #[case] next: usize,
-    #[case] after: Micros,
+    #[case] effect: Effect, #[case] met: &[usize], #[case] next: usize, #[case] after: Micros,
     #[case] open: bool,
 ) {
     let (balancer, _) = balancer(effect, 4);
@@ -471,9 +467,7 @@
 #[case::just_now(1, 0, 1)]
 #[case::not_left(120_000, 1, 1)]
 fn what_left_is_forgotten_and_its_place_used_again(
-    #[case] ago: u64,
-    #[case] entries: usize,
-    #[case] known: usize,
+    #[case] ago: u64, #[case] entries: usize, #[case] known: usize,
 ) {
     let (mut balancer, _) = balancer(Effect::Redoable, 1);
     balancer.upstreams[0].met_until = START_AT;
@@ -545,9 +539,7 @@
 #[case::by_probes(true, 0, 1)]
 #[case::by_books(false, 1, 0)]
 fn asking_in_vain_leaves_no_ticket_without_answer(
-    #[case] probed: bool,
-    #[case] dispatched: usize,
-    #[case] dismissed: usize,
+    #[case] probed: bool, #[case] dispatched: usize, #[case] dismissed: usize,
 ) {
     let (mut balancer, diary) = asking(Effect::Redoable, probed);
     arrive(&mut balancer, START_AT, "a");
--- a/src/groups.rs
+++ b/src/groups.rs
@@ -17,7 +17,6 @@
     late: Fading,
     seen: Fading,
     trial_at: Micros,
-    drags: bool,
 }
 
 impl<H: Host> Balancer<H> {
@@ -27,39 +26,33 @@
     }
 
     /// Whether a group is late far more often than the tickets outside it.
-    fn drags(&mut self, now: Micros, group: usize) -> bool {
-        let Some(fared) = self.groups.get_mut(group) else { return false };
+    fn drags(&self, now: Micros, group: usize) -> bool {
+        let Some(fared) = self.groups.get(group) else { return false };
         let late = fared.late.read(now, HORIZON);
-        if late < if fared.drags { DRAGS.0 / 4.0 } else { DRAGS.0 } {
-            fared.drags = false;
+        if late < DRAGS.0 {
             return false;
         }
         let seen = fared.seen.read(now, HORIZON);
         let (all_late, all) = (self.fared.late.read(now, HORIZON), self.fared.seen.read(now, HORIZON));
         // Where nothing is known of others, they may be as late.
         let others = (all_late - late + 1.0) / (all - seen + 1.0);
-        fared.drags = late / seen > DRAGS.1 + (1.0 - DRAGS.1) * others;
-        fared.drags
+        late / seen > DRAGS.1 + (1.0 - DRAGS.1) * others
     }
 
     /// Whether a ticket would drag at any upstream.
-    pub(crate) fn is_dragging(&mut self, now: Micros, ticket: &Ticket) -> bool {
+    pub(crate) fn is_dragging(&self, now: Micros, ticket: &Ticket) -> bool {
         self.groups_of(ticket).into_iter().any(|group| self.drags(now, group))
     }
 
     /// Whether a ticket is kept out as one that drags; now and then one is let through, or nobody would see the end.
     pub(crate) fn kept_out(&mut self, now: Micros, ticket: &Ticket) -> bool {
-        let span = TRIAL * self.terms.use_cases[ticket.use_case].promised_time;
-        for group in self.groups_of(ticket) {
-            if self.drags(now, group) {
-                let fared = &mut self.groups[group];
-                if now < fared.trial_at {
-                    return true;
-                }
-                fared.trial_at = now + span;
-            }
+        let drags = self.groups_of(ticket).into_iter().find(|&group| self.drags(now, group));
+        let Some(fared) = drags.map(|group| &mut self.groups[group]) else { return false };
+        let out = now < fared.trial_at;
+        if !out {
+            fared.trial_at = now + TRIAL * self.terms.use_cases[ticket.use_case].promised_time;
         }
-        false
+        out
     }
 
     /// Takes in whether a dispatch took longer than the promised time.
--- a/src/known.rs
+++ b/src/known.rs
@@ -40,8 +40,6 @@
     pub(crate) met_until: Micros,
     /// Failed or turned a ticket away: nothing more until then, or failures would come in storms.
     pub(crate) full_until: Micros,
-    /// Failures since it last answered.
-    pub(crate) failures: u32,
     pub(crate) utilisation: Option<f64>,
     pub(crate) queue: Option<f64>,
     /// What it holds in all, as far as it was told.
@@ -118,7 +116,6 @@
     pub(crate) streaming: bool,
     /// What the terms that it was taken under allow: dispatches, and two out at once. The stricter ones hold.
     pub(crate) most_dispatches: usize,
-    pub(crate) second_copies: bool,
     pub(crate) dispatches: Vec<Dispatch>,
     /// The key whose line it stands in, where its use case is in order.
     pub(crate) line: Option<u64>,
@@ -131,12 +128,7 @@
 
 impl Ticket {
     pub(crate) fn new(
-        id: Rc<str>,
-        use_case: usize,
-        promised: Micros,
-        hard_stop: Micros,
-        work: f64,
-        within_share: bool,
+        id: Rc<str>, use_case: usize, promised: Micros, hard_stop: Micros, work: f64, within_share: bool,
     ) -> Self {
         let (streaming, dispatches, waits, answered) = (false, Vec::new(), Vec::new(), Vec::new());
         Self {
@@ -148,7 +140,6 @@
             within_share,
             streaming,
             most_dispatches: usize::MAX,
-            second_copies: true,
             dispatches,
             account: 0,
             line: None,
@@ -230,11 +221,7 @@
 impl<H: Host> Balancer<H> {
     /// One that has seen nothing yet.
     pub(crate) fn blank(
-        host: H,
-        chance: WyRand,
-        terms: Terms,
-        weights: [f64; FEATURES],
-        now: Micros,
+        host: H, chance: WyRand, terms: Terms, weights: [f64; FEATURES], now: Micros,
     ) -> Self {
         Self {
             host,
@@ -276,12 +263,11 @@
     /// copies what the stricter terms allow. Use cases keep their numbers: those of before stand first, as they
     /// were, stricter, or earning 0 where clients can't ask for them now.
     pub fn terms_changed(&mut self, terms: Terms) {
-        let (most, copies) = (self.terms.most_dispatches, self.terms.second_copies);
+        let most = self.terms.most_dispatches;
         let lines = self.lines.values_mut().flat_map(|line| &mut line.waiting);
         let waiting = self.held.iter_mut().chain(&mut self.asking).chain(lines);
         for ticket in waiting.chain(self.tickets.values_mut()) {
             ticket.most_dispatches = ticket.most_dispatches.min(most);
-            ticket.second_copies &= copies;
         }
         self.paces.resize(terms.use_cases.len(), Pace::default());
         self.groups = vec![Fared::default(); terms.use_cases.len() + terms.allowances.len()];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -112,7 +112,6 @@
     pub ask_within: Option<Micros>,
     pub weights_listed: bool,
     pub may_call_off: bool,
-    pub second_copies: bool,
     /// Upstreams tell their load when probed, and only then.
     pub loads_probed: bool,
     /// Neither answers nor probes tell any load.
--- a/src/list.rs
+++ b/src/list.rs
@@ -7,6 +7,9 @@
 use crate::known::{Balancer, Upstream};
 use crate::{Host, Micros};
 
+/// How long a machine that left is known: one that comes back from a crash is as quick as before.
+const KNOWN_FOR: Micros = 60_000_000;
+
 impl<H: Host> Balancer<H> {
     /// What a complete list does not name is gone.
     pub fn list_begins(&mut self, now: Micros, complete: bool) {
@@ -41,7 +44,7 @@
         if launched > upstream.launched && at != blank {
             // A new process has nothing to do with what was held against the old one.
             upstream.answers = Mean::default();
-            (upstream.unanswered_since, upstream.failures, upstream.full_until) = (None, 0, 0);
+            (upstream.unanswered_since, upstream.full_until) = (None, 0);
         }
         upstream.launched = launched;
         // Weights may be late readings, alike at all balancers: following each they would swing together.
@@ -51,12 +54,7 @@
 
     /// The load that an upstream reports: late.
     pub fn load_reported(
-        &mut self,
-        now: Micros,
-        id: &str,
-        busy: Option<f64>,
-        queue: Option<f64>,
-        held: Option<f64>,
+        &mut self, now: Micros, id: &str, busy: Option<f64>, queue: Option<f64>, held: Option<f64>,
     ) {
         if let Some(&u) = self.by_id.get(id) {
             let upstream = &mut self.upstreams[u];
@@ -66,4 +64,16 @@
             upstream.reported = now;
         }
     }
+    /// Forgets upstreams that left long ago and that no open ticket can have been sent to: the list names
+    /// ever new ones.
+    pub(crate) fn forget_left(&mut self, now: Micros) {
+        for upstream in &mut self.upstreams {
+            let out = upstream.in_flight > 0;
+            upstream.ready &= upstream.left.is_none_or(|left| now < left + KNOWN_FOR);
+            if !upstream.ready && !upstream.id.is_empty() && !out && upstream.met_until + KNOWN_FOR < now {
+                self.by_id.remove(&upstream.id);
+                *upstream = Upstream::default();
+            }
+        }
+    }
 }
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -30,11 +30,6 @@
         listed.unwrap_or(1.0)
     }
 
-    /// Whether two dispatches of a ticket may be out: under the terms now, and those that it was taken under.
-    pub(crate) fn copies(&self, ticket: &Ticket) -> bool {
-        self.terms.second_copies && ticket.second_copies
-    }
-
     pub(crate) fn is_cold(&self, now: Micros, u: usize) -> bool {
         let launched = self.upstreams[u].launched;
         launched > 0 && now < launched + self.terms.warming.warm_after
@@ -73,13 +68,7 @@
 
     /// Takes in what a success tells of the upstream, its machine type and the use case.
     pub(crate) fn learn(
-        &mut self,
-        now: Micros,
-        ticket: &Ticket,
-        number: usize,
-        took: f64,
-        answer: f64,
-        cold: bool,
+        &mut self, now: Micros, ticket: &Ticket, number: usize, took: f64, answer: f64, cold: bool,
     ) {
         let Some(dispatch) = ticket.dispatches.get(number) else { return };
         let capacity = self.capacity(dispatch.upstream);
--- a/src/turns/tests.rs
+++ b/src/turns/tests.rs
@@ -34,9 +34,7 @@
 #[case::other_key(Some(KEY), Some(8), 2)]
 #[case::no_key(None, None, 2)]
 fn tickets_of_one_key_run_one_at_a_time(
-    #[case] first: Option<u64>,
-    #[case] second: Option<u64>,
-    #[case] sent: usize,
+    #[case] first: Option<u64>, #[case] second: Option<u64>, #[case] sent: usize,
 ) {
     let (mut balancer, diary) = in_order(Effect::Redoable);
     arrive(&mut balancer, START_AT, "a", first);
--- a/terms/src/fields.rs
+++ b/terms/src/fields.rs
@@ -12,9 +12,7 @@
 }
 
 pub fn optional<'a, T>(
-    object: &'a Value,
-    name: &str,
-    read: impl Fn(&'a Value) -> Option<T>,
+    object: &'a Value, name: &str, read: impl Fn(&'a Value) -> Option<T>,
 ) -> Decoded<Option<T>> {
     match object.get(name) {
         None | Some(Value::Null) => Ok(None),
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -61,7 +61,6 @@
         },
         weights_listed: text(conf, "weightKind")? != "off",
         may_call_off: flag(caps, "cancel")?,
-        second_copies: flag(caps, "secondCopies")?,
         loads_probed: source == "on_probe" && flag(caps, "probes")?,
         loads_untold: source == "off",
         peers: flag(caps, "peers")?,
