Near upstreams first only until a ticket finds no room, then two for each far one for 15 s

So the troubles (a marca that drags, tickets that bring upstreams down, a restart) were not it. What a balancer sees of it is its own tickets without room; lateness is no sign, as the limits keep answers in time. It should hold against any traffic that comes where its upstreams are not, and hurts where a way between locations is bad while one of them is full.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,6 +25,7 @@
 /// Fewest balancers that keep to an upstream and upstreams that one keeps to, also where loads are asked for;
 /// balancers for which that many more keep to an upstream; part of a ring between neighbours' starts.
 const CIRCLE: (usize, usize, usize, usize) = (2, 2, 6, 4);
+const MIX: usize = 2;
 const RING: f64 = 0.618_033_988_749_895;
 const STEP: f64 = 0.1;
 const CLIP: f64 = 0.2; // the paper's ε
@@ -120,7 +121,18 @@
         let is_near = |u: &usize| self.asks() || self.upstreams[*u].zone == self.terms.zone;
         let (near, far): (Vec<_>, Vec<_>) = ring.into_iter().partition(is_near);
         let own = self.terms.own_number as f64 * RING;
-        self.order = [near, far].into_iter().flat_map(|ring| scattered(ring, own)).collect();
+        let [near, far] = [near, far].map(|ring| scattered(ring, own));
+        self.near_first = near.iter().chain(&far).copied().collect();
+        let (mut near, mut far) = (near.into_iter().peekable(), far.into_iter().peekable());
+        self.order.clear();
+        while near.peek().is_some() || far.peek().is_some() {
+            self.order.extend(near.by_ref().take(MIX).chain(far.by_ref().take(1)));
+        }
+    }
+
+    /// The order to go by now: what is near may bear less than comes there, and shows it by being late.
+    fn present_order(&self, now: Micros) -> &[usize] {
+        if now < self.crowded_until { &self.order } else { &self.near_first }
     }
 
     /// Upstreams for each balancer.
@@ -516,7 +528,8 @@
             let met = ticket.dispatches.iter().any(|d| d.upstream == *u);
             !tried && !met && self.has_room(now, *u) && self.permitted(now, ticket, *u)
         };
-        let mut ready: Vec<_> = self.order.iter().copied().filter(open).take(self.circle().0).collect();
+        let mut ready: Vec<_> =
+            self.present_order(now).iter().copied().filter(open).take(self.circle().0).collect();
         // Ties would fall to whoever comes first, again and again.
         let turn = self.chance.generate_range(0..ready.len().max(1));
         ready.rotate_left(turn);
@@ -547,7 +560,8 @@
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
     fn pool_has_room(&self, now: Micros) -> bool {
         let silence = self.silence();
-        let heard = || self.order.iter().filter(|&&u| self.upstreams[u].silent_for(now) <= silence);
+        let heard =
+            || self.present_order(now).iter().filter(|&&u| self.upstreams[u].silent_for(now) <= silence);
         let held: f64 = heard().map(|&u| self.upstreams[u].in_flight as f64).sum();
         let limit: f64 = heard().take(self.circle().0).map(|&u| self.limit(now, u)).sum();
         let root = CHANCE * self.ease.max(0.0) + (1.0 / self.terms.balancers as f64).sqrt();
@@ -569,6 +583,7 @@
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
             return;
         }
+        self.crowded_until = now + LASTING as Micros;
         let rate = self.seen.succeeded.read(now, RECENT) / self.watched(now);
         let place = self.held.partition_point(|held| held.promised <= ticket.promised);
         let wait = place as f64 / rate.max(1.0 / SECOND);
--- a/src/known.rs
+++ b/src/known.rs
@@ -183,6 +183,9 @@
     pub(crate) by_id: HashMap<Rc<str>, usize>,
     /// All ready upstreams in this balancer's own order, the first of which it keeps to.
     pub(crate) order: Vec<usize>,
+    /// The same with those of the own zone first, and until when there was no room in them.
+    pub(crate) near_first: Vec<usize>,
+    pub(crate) crowded_until: Micros,
     pub(crate) tickets: HashMap<Rc<str>, Ticket>,
     pub(crate) held: Vec<Ticket>,
     /// Tickets that wait for what upstreams hold.
@@ -229,6 +232,8 @@
             upstreams: Vec::new(),
             by_id: HashMap::new(),
             order: Vec::new(),
+            near_first: Vec::new(),
+            crowded_until: 0,
             tickets: HashMap::new(),
             held: Vec::new(),
             asking: Vec::new(),
