--- a/src/decide.rs
+++ b/src/decide.rs
@@ -408,9 +408,9 @@
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
         } else {
             let unseen = ticket.dispatches.iter().all(|d| !d.may_have_run);
-            // An upstream that went down under the ticket may have done so by it: no second victim.
-            let again =
-                unseen || (self.terms.use_cases[ticket.use_case].effect.repeats() && how != Ending::Broken);
+            let repeats = self.terms.use_cases[ticket.use_case].effect.repeats();
+            // Upstreams that go down one after another under a ticket may do so by it: no third victim.
+            let again = unseen || (repeats && (how != Ending::Broken || ticket.dispatches.len() == 1));
             match again && ticket.dispatches.len() < self.terms.most_dispatches {
                 true => self.admit(now, ticket),
                 false => self.give_up(now, ticket),
