What an answer has overtaken leaves its place, and is no sign of silence

Each lost dispatch kept its place at its upstream for its 0.6 s, some 17 places at 500 tickets a second, and made it pass for silent. It should hold against any lost answer; it hurts where long work is overtaken by short, as its place is then given twice.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -334,8 +334,7 @@
         self.upstreams[u].cold_spent = (span, spent + ticket.work);
         let upstream = &mut self.upstreams[u];
         let before = upstream.held;
-        upstream.in_flight += 1;
-        upstream.work_in_flight += ticket.work;
+        upstream.occupy(now, ticket.work);
         upstream.held = upstream.held.map(|held| held + 1.0);
         upstream.unanswered_since.get_or_insert(now);
         upstream.met_until = upstream.met_until.max(ticket.hard_stop);
@@ -622,11 +621,12 @@
         &mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros,
     ) {
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else { return };
-        let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
+        let (heard, cold, silence) =
+            (self.heard_within(now), self.is_cold(now, dispatch.upstream), self.silence() as Micros);
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
-        let (u, rested) = (dispatch.upstream, dispatch.rested);
-        self.upstreams[u].release(ticket.work);
+        let (u, rested, sent) = (dispatch.upstream, dispatch.rested, dispatch.sent);
+        self.upstreams[u].release(sent, ticket.work);
         self.upstreams[u].used = Some(now);
         let promised = self.terms.use_cases[ticket.use_case].promised_time;
         self.tell_keeper(now, u, Some((ticket.use_case, Fate::of(ending))));
@@ -645,9 +645,7 @@
         let upstream = &mut self.upstreams[u];
         if dragging || ending == Ending::CalledOff || ending == Ending::NeverSent {
             // A client that left early says nothing of the upstream.
-            if upstream.in_flight == 0 {
-                upstream.unanswered_since = None;
-            }
+            upstream.unanswered_since = upstream.unanswered_since.filter(|_| upstream.in_flight > 0);
             return;
         }
         // Use cases are put on one scale by how their usual answer times compare.
@@ -663,11 +661,13 @@
         let all = self.seen.answers.read().unwrap_or(took);
         let mut answer = took * all / pace.lasting.read().unwrap_or(took).max(1.0);
         if ending != Ending::Silent {
-            upstream.unanswered_since = (upstream.in_flight > 0).then_some(now);
+            upstream.unanswered_since = None;
         }
         let mut payoff = 0.0;
         if ending == Ending::Succeeded {
             upstream.left = None;
+            // What was sent long before is lost, not slow: kept places would close an upstream that answers.
+            upstream.overtake(sent.min(now.saturating_sub(silence)));
             self.learn(now, ticket, number, took, answer, cold);
             payoff = (all / answer).min(WIDEST);
         } else {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -345,6 +345,23 @@
     );
 }
 
+/// Connections that fall silent one by one (rate+silent+leave on sockets, 0.99 -> 0.00): each lost dispatch kept its place
+/// for 0.6 s, until upstreams that answered in 7 ms had no room.
+#[rstest]
+#[case::long_before(900, 0)]
+#[case::just_before(10, 1)]
+fn what_an_answer_has_overtaken_leaves_its_place(#[case] earlier: u64, #[case] left: usize) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 1);
+    let now = START_AT + 1_000 * MS;
+    balancer.send(now - earlier * MS, &mut ticket(&[], false), 0, None);
+    let mut later = ticket(&[], false);
+    balancer.send(now, &mut later, 0, None);
+    balancer.ended(now + 5 * MS, &mut later, 0, Ending::Succeeded, 5 * MS);
+    assert_eq!((balancer.upstreams[0].in_flight, balancer.upstreams[0].unanswered_since), (left, None));
+    balancer.upstreams[0].release(now - earlier * MS, 1.0);
+    assert_eq!(balancer.upstreams[0].in_flight, 0);
+}
+
 /// All picking the same, most upstreams idle and a few drown: every one has as many balancers as another.
 #[rstest]
 #[case(800, 110)]
--- a/src/known.rs
+++ b/src/known.rs
@@ -29,6 +29,8 @@
     pub(crate) launched: Micros,
     /// Dispatches that are out.
     pub(crate) in_flight: usize,
+    /// When these were sent, and their work.
+    pub(crate) outs: Vec<(Micros, f64)>,
     pub(crate) work_in_flight: f64,
     pub(crate) answers: Mean,
     pub(crate) lasting_answers: Mean,
@@ -305,10 +307,28 @@
         }
     }
 
-    pub(crate) fn release(&mut self, work: f64) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        let left = (self.work_in_flight - work).max(0.0);
-        self.work_in_flight = if self.in_flight == 0 { 0.0 } else { left };
+    /// A dispatch went out.
+    pub(crate) fn occupy(&mut self, sent: Micros, work: f64) {
+        self.outs.push((sent, work));
+        (self.in_flight, self.work_in_flight) = (self.in_flight + 1, self.work_in_flight + work);
+    }
+
+    /// A dispatch ended; one that was overtaken has left its place already.
+    pub(crate) fn release(&mut self, sent: Micros, work: f64) {
+        if let Some(at) = self.outs.iter().position(|out| *out == (sent, work)) {
+            self.outs.remove(at);
+            self.count_outs();
+        }
+    }
+
+    /// Dispatches sent before take up no place any more: what was sent later has been answered.
+    pub(crate) fn overtake(&mut self, before: Micros) {
+        self.outs.retain(|out| out.0 >= before);
+        self.count_outs();
+    }
+
+    fn count_outs(&mut self) {
+        (self.in_flight, self.work_in_flight) = (self.outs.len(), self.outs.iter().map(|out| out.1).sum());
     }
 
     pub(crate) fn silent_for(&self, now: Micros) -> f64 {
