--- a/node/src/wire/tickets/tests.rs
+++ b/node/src/wire/tickets/tests.rs
@@ -64,3 +64,88 @@
     let fields = [Header { name: "X-Remaining-Ms", value: text.as_bytes() }];
     assert_eq!(remaining(&fields), expected);
 }
+
+/// A balancer whose labelled tickets run in order for each key; times are long, so that a slow test changes nothing.
+fn in_order() -> Stand {
+    Stand::with(|told| {
+        let settings = &mut told["settings"];
+        settings["rules"]["turnGapUs"] = 20_000.into();
+        for use_case in settings["useCases"].as_array_mut().unwrap() {
+            use_case["inOrder"] = true.into();
+            use_case["promisedTimeUs"] = 60_000_000.into();
+        }
+    })
+}
+
+fn of_key(id: &str, key: &str) -> String {
+    message(id, "body").replace("X-Remaining-Ms: 900", &format!("X-Remaining-Ms: 60000\r\nX-Entity: {key}"))
+}
+
+/// The next ticket comes on a connection of its own.
+const DONE: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// The second ticket of a key comes after the first is over, however that ends; one of another key does not wait.
+#[rstest]
+#[case::answered(Some(DONE))]
+#[case::failed(Some("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))]
+#[case::reset(None)]
+fn tickets_of_one_key_reach_upstreams_one_at_a_time(#[case] end: Option<&str>) {
+    let mut stand = in_order();
+    let upstream = stand.upstreams();
+    let clients = [("t1", "k"), ("t2", "k"), ("t3", "other")].map(|(id, key)| {
+        let (client, _) = stand.client();
+        say(&client, &of_key(id, key));
+        stand.until(|node| node.desk.borrow().by_id.contains_key(id).then_some(()));
+        client
+    });
+    let first = stand.accepted(&upstream);
+    assert!(stand.heard(&first, "body").contains("X-Txn: t1\r\n"));
+    let other = stand.accepted(&upstream);
+    assert!(stand.heard(&other, "body").contains("X-Txn: t3\r\n"));
+    assert_eq!(stand.node.desk.borrow().counters.dispatches, 2);
+    match end {
+        Some(end) => say(&first, end),
+        None => drop(first),
+    }
+    // What failed or was reset is labelled and goes on; until it is over nothing of t2 may come.
+    let mut link = stand.accepted(&upstream);
+    let mut heard = stand.heard(&link, "body");
+    let mut again = 0;
+    while heard.contains("X-Txn: t1\r\n") {
+        again += 1;
+        say(&link, DONE);
+        link = stand.accepted(&upstream);
+        heard = stand.heard(&link, "body");
+    }
+    assert!(heard.contains("X-Txn: t2\r\n"), "{heard}");
+    assert_eq!(again, usize::from(end != Some(DONE)));
+    say(&link, DONE);
+    assert!(stand.heard(&clients[0], "\r\n\r\n").starts_with("HTTP/1.1 200 "));
+    assert!(stand.heard(&clients[1], "\r\n\r\n").starts_with("HTTP/1.1 200 "));
+}
+
+/// A drain moves later tickets elsewhere, but does not let them overtake what still runs where it drains.
+#[test]
+fn a_drain_does_not_let_a_key_overtake_itself() {
+    let mut stand = in_order();
+    let draining = stand.upstream("s1");
+    let clients = ["t1", "t2"].map(|id| {
+        let (client, _) = stand.client();
+        say(&client, &of_key(id, "k"));
+        stand.until(|node| node.desk.borrow().by_id.contains_key(id).then_some(()));
+        client
+    });
+    let first = stand.accepted(&draining);
+    assert!(stand.heard(&first, "body").contains("X-Txn: t1\r\n"));
+    let fresh = crate::stand::listener();
+    stand.list(&[
+        crate::stand::entry("s1", draining.local_addr().unwrap(), "draining"),
+        crate::stand::entry("s2", fresh.local_addr().unwrap(), "active"),
+    ]);
+    assert_eq!(stand.node.desk.borrow().counters.dispatches, 1);
+    say(&first, DONE);
+    let second = stand.accepted(&fresh);
+    assert!(stand.heard(&second, "body").contains("X-Txn: t2\r\n"));
+    say(&second, DONE);
+    clients.iter().for_each(|client| assert!(stand.heard(client, "\r\n\r\n").starts_with("HTTP/1.1 200 ")));
+}
