--- a/src/decide.rs
+++ b/src/decide.rs
@@ -74,7 +74,7 @@
 const TIME_LEFT: f64 = 2.0;
 
 /// Part of a cold upstream's budget that is used, its capacity being a guess, and what a ticket may go over.
-const COLD: (f64, f64) = (0.6, 0.5);
+const COLD: (f64, f64) = (0.5, 0.5);
 
 /// Upstreams asked for each ticket, and the part of the promised time to wait for answers.
 const ASKED: usize = 5;
