Reading again: one record of what is out, the list in one file, silence only where needed

What is in flight at an upstream and its work follow from the dispatches that are out; they were kept a second and third time. The silence was computed at every outcome, and is needed after a success only. list_ends stands with the rest of the list and resets the failed asks itself, where forget_left did it as a side effect. New terms forget the near order with the other one. Two tests share their set-up; comments on the near order and on who is no longer named say what holds.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,9 +25,9 @@
 /// Fewest balancers that keep to an upstream and upstreams that one keeps to, also where loads are asked for;
 /// balancers for which that many more keep to an upstream; part of a ring between neighbours' starts.
 const CIRCLE: (usize, usize, usize, usize) = (2, 2, 6, 4);
+const RING: f64 = 0.618_033_988_749_895;
 /// Near ones for each far one where the near ones are full: a part of what the way costs is saved.
 const MIX: usize = 2;
-const RING: f64 = 0.618_033_988_749_895;
 const STEP: f64 = 0.1;
 const CLIP: f64 = 0.2; // the paper's ε
 const EPOCHS: usize = 2;
@@ -100,12 +100,6 @@
         balancer
     }
 
-    pub fn list_ends(&mut self, now: Micros) {
-        self.forget_left(now);
-        self.draw_order();
-        self.pump(now);
-    }
-
     /// Balancers that see little keep to a few upstreams, from evenly spread starts on the common ring.
     pub(crate) fn draw_order(&mut self) {
         let mut ring: Vec<usize> = (0..self.upstreams.len()).filter(|&u| self.upstreams[u].ready).collect();
@@ -125,7 +119,7 @@
         }
     }
 
-    /// The order to go by now: what is near may bear less than comes there, and shows it by being late.
+    /// The order to go by now: near ones may bear less than comes there, and leave tickets without room then.
     fn present_order(&self, now: Micros) -> &[usize] {
         if now < self.crowded_until { &self.order } else { &self.near_first }
     }
@@ -315,7 +309,7 @@
         let others = |i: usize, up: &Upstream| (1.0 - 1.0 / sharers) * fresh[i] * up.queue.unwrap_or(0.0);
         let in_flight = gather(&|i, up| match up.held.filter(|_| self.asks()) {
             Some(held) => Some(IDLE + held * fresh[i]),
-            None => Some(0.5 + up.work_in_flight + others(i, up)),
+            None => Some(0.5 + up.work_in_flight() + others(i, up)),
         });
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
         let row = |(i, &u): (usize, &usize)| {
@@ -334,7 +328,7 @@
         self.upstreams[u].cold_spent = (span, spent + ticket.work);
         let upstream = &mut self.upstreams[u];
         let before = upstream.held;
-        upstream.occupy(now, ticket.work);
+        upstream.outs.push((now, ticket.work));
         upstream.held = upstream.held.map(|held| held + 1.0);
         upstream.unanswered_since.get_or_insert(now);
         upstream.met_until = upstream.met_until.max(ticket.hard_stop);
@@ -538,7 +532,7 @@
     }
 
     fn has_room(&self, now: Micros, u: usize) -> bool {
-        let (up, held) = (&self.upstreams[u], self.upstreams[u].in_flight as f64);
+        let (up, held) = (&self.upstreams[u], self.upstreams[u].in_flight() as f64);
         let below = || held == 0.0 || held + ROUNDING < self.limit(now, u);
         up.full_until <= now && (self.asks() || below())
     }
@@ -548,7 +542,7 @@
         let silence = self.silence();
         let heard =
             || self.present_order(now).iter().filter(|&&u| self.upstreams[u].silent_for(now) <= silence);
-        let held: f64 = heard().map(|&u| self.upstreams[u].in_flight as f64).sum();
+        let held: f64 = heard().map(|&u| self.upstreams[u].in_flight() as f64).sum();
         let limit: f64 = heard().take(self.circle().0).map(|&u| self.limit(now, u)).sum();
         let root = CHANCE * self.ease.max(0.0) + (1.0 / self.terms.balancers as f64).sqrt();
         held < LEAST.1.max(limit + root * limit.sqrt())
@@ -594,7 +588,7 @@
     }
 
     /// Sends held tickets while there is room, the most pressing first, and dismisses what is too late.
-    fn pump(&mut self, now: Micros) {
+    pub(crate) fn pump(&mut self, now: Micros) {
         for mut ticket in std::mem::take(&mut self.held) {
             if self.last_start(&ticket) < now {
                 self.give_up(now, ticket);
@@ -621,8 +615,7 @@
         &mut self, now: Micros, ticket: &mut Ticket, number: usize, ending: Ending, took: Micros,
     ) {
         let Some(dispatch) = ticket.dispatches.get_mut(number).filter(|d| d.out) else { return };
-        let (heard, cold, silence) =
-            (self.heard_within(now), self.is_cold(now, dispatch.upstream), self.silence() as Micros);
+        let (heard, cold) = (self.heard_within(now), self.is_cold(now, dispatch.upstream));
         dispatch.out = false;
         dispatch.may_have_run = !ending.proves_not_run();
         let (u, rested, sent) = (dispatch.upstream, dispatch.rested, dispatch.sent);
@@ -645,7 +638,7 @@
         let upstream = &mut self.upstreams[u];
         if dragging || ending == Ending::CalledOff || ending == Ending::NeverSent {
             // A client that left early says nothing of the upstream.
-            upstream.unanswered_since = upstream.unanswered_since.filter(|_| upstream.in_flight > 0);
+            upstream.unanswered_since = upstream.unanswered_since.filter(|_| upstream.in_flight() > 0);
             return;
         }
         // Use cases are put on one scale by how their usual answer times compare.
@@ -667,7 +660,8 @@
         if ending == Ending::Succeeded {
             upstream.left = None;
             // What was sent long before is lost, not slow: kept places would close an upstream that answers.
-            upstream.overtake(sent.min(now.saturating_sub(silence)));
+            let lost = sent.min(now.saturating_sub(self.silence() as Micros));
+            self.upstreams[u].overtake(lost);
             self.learn(now, ticket, number, took, answer, cold);
             payoff = (all / answer).min(WIDEST);
         } else {
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -272,11 +272,12 @@
 fn what_is_silent_is_passed_over_but_for_one_at_a_time() {
     let (mut balancer, _) = balancer(Effect::Irreversible, 4);
     let sent = START_AT - 500 * MS;
-    (balancer.upstreams[0].unanswered_since, balancer.upstreams[0].in_flight) = (Some(sent), 90);
+    (balancer.upstreams[0].unanswered_since, balancer.upstreams[0].outs) =
+        (Some(sent), vec![(sent, 1.0); 90]);
     balancer.upstreams[0].used = Some(START_AT - 10 * MS);
     assert!(!balancer.candidates(START_AT, &ticket(&[], false)).contains(&0));
     assert!(balancer.pool_has_room(START_AT));
-    balancer.upstreams[0].in_flight = 0;
+    balancer.upstreams[0].outs.clear();
     assert!(balancer.candidates(START_AT + 600 * MS, &ticket(&[], false)).contains(&0));
 }
 
@@ -357,9 +358,9 @@
     let mut later = ticket(&[], false);
     balancer.send(now, &mut later, 0, None);
     balancer.ended(now + 5 * MS, &mut later, 0, Ending::Succeeded, 5 * MS);
-    assert_eq!((balancer.upstreams[0].in_flight, balancer.upstreams[0].unanswered_since), (left, None));
+    assert_eq!((balancer.upstreams[0].in_flight(), balancer.upstreams[0].unanswered_since), (left, None));
     balancer.upstreams[0].release(now - earlier * MS, 1.0);
-    assert_eq!(balancer.upstreams[0].in_flight, 0);
+    assert_eq!(balancer.upstreams[0].in_flight(), 0);
 }
 
 /// All picking the same, most upstreams idle and a few drown: every one has as many balancers as another.
@@ -437,17 +438,22 @@
     assert!((balancer.limit(START_AT, 0) - limit).abs() < 1e-6);
 }
 
-#[rstest]
-#[case::beyond(60.0, 0)]
-#[case::within(0.0, 1)]
-fn under_pressure_a_share_is_kept_to(#[case] admitted: f64, #[case] held: usize) {
-    let (mut balancer, diary) = balancer(Effect::Redoable, 6);
+/// How many are held and dismissed of one ticket, behind one that waits, with so much admitted of its account.
+fn held_or_dismissed(upstreams: usize, admitted: f64) -> (usize, usize) {
+    let (mut balancer, diary) = balancer(Effect::Redoable, upstreams);
     balancer.admitted[0].add(START_AT, RECENT, admitted);
     balancer.seen.succeeded.add(START_AT, RECENT, 80.0);
     balancer.started = 0;
     balancer.held.push(ticket(&[], false));
     arrive(&mut balancer, START_AT, "a");
-    assert_eq!((balancer.held.len() - 1, diary.count("dismiss")), (held, 1 - held));
+    (balancer.held.len() - 1, diary.count("dismiss"))
+}
+
+#[rstest]
+#[case::beyond(60.0, 0)]
+#[case::within(0.0, 1)]
+fn under_pressure_a_share_is_kept_to(#[case] admitted: f64, #[case] held: usize) {
+    assert_eq!(held_or_dismissed(6, admitted), (held, 1 - held));
 }
 
 /// Norte's overload: what came free at an upstream went to another balancer's ticket, and held ones came too late.
@@ -457,12 +463,7 @@
 fn tickets_are_held_only_where_a_balancer_has_several_upstreams(
     #[case] upstreams: usize, #[case] held: usize,
 ) {
-    let (mut balancer, diary) = balancer(Effect::Redoable, upstreams);
-    balancer.seen.succeeded.add(START_AT, RECENT, 80.0);
-    balancer.started = 0;
-    balancer.held.push(ticket(&[], false));
-    arrive(&mut balancer, START_AT, "a");
-    assert_eq!((balancer.held.len() - 1, diary.count("dismiss")), (held, 1 - held));
+    assert_eq!(held_or_dismissed(upstreams, 0.0), (held, 1 - held));
 }
 
 /// Centro's slow link: a far upstream in the circle costs the way there, and is lost when the way is. Where seven tenths
@@ -621,8 +622,8 @@
         (0..4).for_each(|u| holds(&mut balancer, now + MS, u, if u == 2 { 0 } else { 9 }));
     }
     assert!(diary.count(asks) >= 4 && diary.count("dispatch") == 20);
-    let elsewhere = [0, 1, 3].map(|u| balancer.upstreams[u].in_flight).iter().sum::<usize>();
-    assert!(balancer.upstreams[2].in_flight >= 18 && elsewhere <= 2);
+    let elsewhere = [0, 1, 3].map(|u| balancer.upstreams[u].in_flight()).iter().sum::<usize>();
+    assert!(balancer.upstreams[2].in_flight() >= 18 && elsewhere <= 2);
 }
 
 /// Who was asked may be gone, stalled or slow.
--- a/src/known.rs
+++ b/src/known.rs
@@ -27,11 +27,8 @@
     pub(crate) left: Option<Micros>,
     pub(crate) weight: Mean,
     pub(crate) launched: Micros,
-    /// Dispatches that are out.
-    pub(crate) in_flight: usize,
-    /// When these were sent, and their work.
+    /// Dispatches that are out and not overtaken: when they were sent, and their work.
     pub(crate) outs: Vec<(Micros, f64)>,
-    pub(crate) work_in_flight: f64,
     pub(crate) answers: Mean,
     pub(crate) lasting_answers: Mean,
     pub(crate) shortest: Option<f64>,
@@ -282,6 +279,7 @@
         self.terms = terms;
         self.held.sort_by_key(|ticket| ticket.promised);
         self.order.clear();
+        self.near_first.clear();
         self.draw_order();
     }
 
@@ -299,7 +297,7 @@
 }
 
 impl Upstream {
-    /// No longer named. Where that does not bind, it is suspect until it answers or is named again.
+    /// No longer named. Where that does not bind, it may still be sent to, for a time.
     pub(crate) fn drop_out(&mut self, now: Micros, stays_open: bool) {
         match stays_open {
             true => _ = self.left.get_or_insert(now),
@@ -307,28 +305,24 @@
         }
     }
 
-    /// A dispatch went out.
-    pub(crate) fn occupy(&mut self, sent: Micros, work: f64) {
-        self.outs.push((sent, work));
-        (self.in_flight, self.work_in_flight) = (self.in_flight + 1, self.work_in_flight + work);
+    pub(crate) fn in_flight(&self) -> usize {
+        self.outs.len()
+    }
+
+    pub(crate) fn work_in_flight(&self) -> f64 {
+        self.outs.iter().map(|out| out.1).sum()
     }
 
     /// A dispatch ended; one that was overtaken has left its place already.
     pub(crate) fn release(&mut self, sent: Micros, work: f64) {
         if let Some(at) = self.outs.iter().position(|out| *out == (sent, work)) {
             self.outs.remove(at);
-            self.count_outs();
         }
     }
 
     /// Dispatches sent before take up no place any more: what was sent later has been answered.
     pub(crate) fn overtake(&mut self, before: Micros) {
         self.outs.retain(|out| out.0 >= before);
-        self.count_outs();
-    }
-
-    fn count_outs(&mut self) {
-        (self.in_flight, self.work_in_flight) = (self.outs.len(), self.outs.iter().map(|out| out.1).sum());
     }
 
     pub(crate) fn silent_for(&self, now: Micros) -> f64 {
--- a/src/list.rs
+++ b/src/list.rs
@@ -92,12 +92,19 @@
             upstream.reported = now;
         }
     }
+
+    pub fn list_ends(&mut self, now: Micros) {
+        self.failed_follows = 0;
+        self.forget_left(now);
+        self.draw_order();
+        self.pump(now);
+    }
+
     /// Forgets upstreams that left long ago and that no open ticket can have been sent to: the list names
     /// ever new ones.
-    pub(crate) fn forget_left(&mut self, now: Micros) {
-        self.failed_follows = 0;
+    fn forget_left(&mut self, now: Micros) {
         for upstream in &mut self.upstreams {
-            let out = upstream.in_flight > 0;
+            let out = upstream.in_flight() > 0;
             upstream.ready &= upstream.left.is_none_or(|left| now < left + KNOWN_FOR);
             if !upstream.ready && !upstream.id.is_empty() && !out && upstream.met_until + KNOWN_FOR < now {
                 self.by_id.remove(&upstream.id);
