What is out for longer than silence takes up no place, and a lost answer is one failure

Change: has_room, the limit of all together and the load in the features count only what was sent within silence(); 'overtaken' is out, outs is the one record.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -305,11 +305,12 @@
         let fresh: Vec<f64> = ready.iter().map(weight).collect();
         let queue = gather(&|_, up| up.queue.map(|queue| queue + 1.0));
         let busy = gather(&|_, up| up.utilisation.map(|busy| busy + 0.1));
+        let since = self.unheard_since(now);
         // Own work in flight, and of what is reported the part that is the other balancers'.
         let others = |i: usize, up: &Upstream| (1.0 - 1.0 / sharers) * fresh[i] * up.queue.unwrap_or(0.0);
         let in_flight = gather(&|i, up| match up.held.filter(|_| self.asks()) {
             Some(held) => Some(IDLE + held * fresh[i]),
-            None => Some(0.5 + up.work_in_flight() + others(i, up)),
+            None => Some(0.5 + up.out_since(since).1 + others(i, up)),
         });
         let near = |u: usize| f64::from(u8::from(ups[u].zone == self.terms.zone));
         let row = |(i, &u): (usize, &usize)| {
@@ -522,6 +523,11 @@
         SILENT * in_use.map(|c| self.expected(c)).fold(0.0, f64::max)
     }
 
+    /// What was sent before takes up no place: a lost dispatch would close an upstream whose limit is one.
+    fn unheard_since(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.silence() as Micros)
+    }
+
     /// What an upstream may hold of ours: what its served rate needs × shortest ÷ present answer time.
     fn limit(&self, now: Micros, u: usize) -> f64 {
         let upstream = &self.upstreams[u];
@@ -532,7 +538,8 @@
     }
 
     fn has_room(&self, now: Micros, u: usize) -> bool {
-        let (up, held) = (&self.upstreams[u], self.upstreams[u].in_flight() as f64);
+        let up = &self.upstreams[u];
+        let (held, _) = up.out_since(self.unheard_since(now));
         let below = || held == 0.0 || held + ROUNDING < self.limit(now, u);
         up.full_until <= now && (self.asks() || below())
     }
@@ -542,7 +549,8 @@
         let silence = self.silence();
         let heard =
             || self.present_order(now).iter().filter(|&&u| self.upstreams[u].silent_for(now) <= silence);
-        let held: f64 = heard().map(|&u| self.upstreams[u].in_flight() as f64).sum();
+        let since = self.unheard_since(now);
+        let held: f64 = heard().map(|&u| self.upstreams[u].out_since(since).0).sum();
         let limit: f64 = heard().take(self.circle().0).map(|&u| self.limit(now, u)).sum();
         let root = CHANCE * self.ease.max(0.0) + (1.0 / self.terms.balancers as f64).sqrt();
         held < LEAST.1.max(limit + root * limit.sqrt())
@@ -638,7 +646,7 @@
         let upstream = &mut self.upstreams[u];
         if dragging || ending == Ending::CalledOff || ending == Ending::NeverSent {
             // A client that left early says nothing of the upstream.
-            upstream.unanswered_since = upstream.unanswered_since.filter(|_| upstream.in_flight() > 0);
+            upstream.unanswered_since = upstream.unanswered_since.filter(|_| upstream.any_out());
             return;
         }
         // Use cases are put on one scale by how their usual answer times compare.
@@ -659,15 +667,12 @@
         let mut payoff = 0.0;
         if ending == Ending::Succeeded {
             upstream.left = None;
-            // What was sent long before is lost, not slow: kept places would close an upstream that answers.
-            let lost = sent.min(now.saturating_sub(self.silence() as Micros));
-            self.upstreams[u].overtake(lost);
             self.learn(now, ticket, number, took, answer, cold);
             payoff = (all / answer).min(WIDEST);
         } else {
             upstream.full_until = now + (REST * pace.present.read().unwrap_or(0.0)) as Micros;
-            // A fast failure must not make an upstream look quick.
-            answer = answer.max(FAILURE_LATENCY * all);
+            // A fast failure must not make an upstream look quick, nor a lost answer make it look slow for seconds.
+            answer = if ending == Ending::Silent { 0.0 } else { answer }.max(FAILURE_LATENCY * all);
         }
         let upstream = &mut self.upstreams[u];
         upstream.answers.add(now, heard, answer, ticket.work);
--- a/src/known.rs
+++ b/src/known.rs
@@ -27,7 +27,7 @@
     pub(crate) left: Option<Micros>,
     pub(crate) weight: Mean,
     pub(crate) launched: Micros,
-    /// Dispatches that are out and not overtaken: when they were sent, and their work.
+    /// Dispatches that are out: when they were sent, and their work.
     pub(crate) outs: Vec<(Micros, f64)>,
     pub(crate) answers: Mean,
     pub(crate) lasting_answers: Mean,
@@ -305,26 +305,22 @@
         }
     }
 
-    pub(crate) fn in_flight(&self) -> usize {
-        self.outs.len()
+    pub(crate) fn any_out(&self) -> bool {
+        !self.outs.is_empty()
     }
 
-    pub(crate) fn work_in_flight(&self) -> f64 {
-        self.outs.iter().map(|out| out.1).sum()
+    /// Dispatches that are out and were sent since then, and their work: what was sent before is lost, not slow.
+    pub(crate) fn out_since(&self, since: Micros) -> (f64, f64) {
+        let young = self.outs.iter().filter(|out| out.0 >= since);
+        young.fold((0.0, 0.0), |(count, work), out| (count + 1.0, work + out.1))
     }
 
-    /// A dispatch ended; one that was overtaken has left its place already.
     pub(crate) fn release(&mut self, sent: Micros, work: f64) {
         if let Some(at) = self.outs.iter().position(|out| *out == (sent, work)) {
             self.outs.remove(at);
         }
     }
 
-    /// Dispatches sent before take up no place any more: what was sent later has been answered.
-    pub(crate) fn overtake(&mut self, before: Micros) {
-        self.outs.retain(|out| out.0 >= before);
-    }
-
     pub(crate) fn silent_for(&self, now: Micros) -> f64 {
         self.unanswered_since.map_or(0.0, |since| now.saturating_sub(since) as f64)
     }
--- a/src/list.rs
+++ b/src/list.rs
@@ -104,7 +104,7 @@
     /// ever new ones.
     fn forget_left(&mut self, now: Micros) {
         for upstream in &mut self.upstreams {
-            let out = upstream.in_flight() > 0;
+            let out = upstream.any_out();
             upstream.ready &= upstream.left.is_none_or(|left| now < left + KNOWN_FOR);
             if !upstream.ready && !upstream.id.is_empty() && !out && upstream.met_until + KNOWN_FOR < now {
                 self.by_id.remove(&upstream.id);
