--- /dev/null
+++ b/accord/src/frames.rs
@@ -0,0 +1,83 @@
+//! What balancers say to one another, before it is sealed.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::envelope::Life;
+
+/// Bytes of a name or a zone at most.
+pub const NAME_MOST: usize = 64;
+
+/// How a member stands, by rising weight: at one incarnation the later ones go before the earlier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    Present,
+    /// Somebody could not reach it.
+    Doubted,
+    /// Nobody refuted the doubt in time. It may be dead, cut off or stalled, and may still serve.
+    Gone,
+    /// It said itself that it serves no more.
+    Left,
+}
+
+/// What is said of one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    pub name: Rc<str>,
+    pub address: SocketAddr,
+    pub zone: Rc<str>,
+    pub life: Life,
+    pub incarnation: u64,
+    pub state: State,
+    /// Who doubted, as chance of its life: doubts of several make up minds sooner. 0 where nobody doubts.
+    pub by: u64,
+    /// The version that it speaks.
+    pub version: u8,
+}
+
+impl Record {
+    /// Whether its names are as long as names may be.
+    pub fn is_sound(&self) -> bool {
+        let fits = |text: &str| !text.is_empty() && text.len() <= NAME_MOST;
+        let plain = |text: &str| text.bytes().all(|byte| byte.is_ascii_graphic());
+        fits(&self.name) && plain(&self.name) && self.zone.len() <= NAME_MOST && plain(&self.zone)
+    }
+
+    /// Whether it goes before another of the same name. Of two processes at one incarnation the one with the greater
+    /// life goes first, so that all members choose alike.
+    pub fn goes_before(&self, other: &Self) -> bool {
+        (self.incarnation, self.life, self.state) > (other.incarnation, other.life, other.state)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Nothing but records.
+    News,
+    /// Whoever bears the name answers; whoever gets it answers where none is named.
+    Probe {
+        number: u32,
+        target: Option<Rc<str>>,
+    },
+    Answer {
+        number: u32,
+    },
+    /// Please probe the target for me.
+    Ask {
+        number: u32,
+        target: Rc<str>,
+        address: SocketAddr,
+    },
+    /// What came of it. That one who was asked answers at all shows the way to it is fine.
+    Asked {
+        number: u32,
+        answered: bool,
+    },
+    /// Part of the whole table; whoever gets it sends parts of its own back if wanted.
+    Swap {
+        wants: bool,
+    },
+}
--- /dev/null
+++ b/accord/src/tests.rs
@@ -0,0 +1,156 @@
+use rstest::rstest;
+
+use super::*;
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000_000;
+
+fn part(number: u16) -> Part {
+    let address = |number| SocketAddr::from(([127, 0, 0, 1], 7_000 + number));
+    Part {
+        fleet: "f".into(),
+        name: format!("b{number}"),
+        zone: "a".into(),
+        address: address(number),
+        seeds: vec![address(0)],
+        born: 1_000 + u64::from(number),
+        probe_every: Part::PROBE_EVERY,
+        answer_within: Part::ANSWER_WITHIN,
+        doubt_least: Part::DOUBT_LEAST,
+    }
+}
+
+fn accord(number: u16) -> Accord {
+    Accord::new(part(number), Key::new(b"0123456789abcdef").unwrap(), u64::from(number), 0)
+}
+
+/// Carries all that is sent for a span, a millisecond a way, past who is named as not heard.
+fn carry(all: &mut [Accord], from: Micros, to: Micros, unheard: &[usize]) {
+    for now in (from..to).step_by(MS as usize) {
+        let sent: Vec<_> = all.iter_mut().enumerate().map(|(n, one)| (n, one.take_datagrams())).collect();
+        for (n, sent) in sent {
+            for (to, bytes) in sent {
+                let at = usize::from(to.port() - 7_000);
+                if !unheard.contains(&n) && !unheard.contains(&at) && at < all.len() {
+                    all[at].heard(now, &bytes);
+                }
+            }
+        }
+        all.iter_mut().for_each(|one| one.due(now));
+    }
+}
+
+fn states(one: &Accord) -> Vec<State> {
+    let mut members: Vec<_> =
+        one.table.members.iter().map(|m| (m.record.name.clone(), m.record.state)).collect();
+    members.sort();
+    members.into_iter().map(|member| member.1).collect()
+}
+
+#[test]
+fn all_know_each_other_by_one_seed() {
+    let mut all: Vec<Accord> = (0..5).map(accord).collect();
+    carry(&mut all, 0, 3 * SECOND, &[]);
+    assert!(all.iter().all(|one| states(one) == [State::Present; 4]));
+    assert!(all.iter().all(|one| one.tally().dropped.is_empty()));
+}
+
+#[test]
+fn who_is_silent_is_gone_after_a_doubt_and_back_when_heard() {
+    let mut all: Vec<Accord> = (0..4).map(accord).collect();
+    carry(&mut all, 0, 3 * SECOND, &[]);
+    all[0].take_events();
+    carry(&mut all, 3 * SECOND, 10 * SECOND, &[3]);
+    let name: Rc<str> = "b3".into();
+    assert_eq!(all[0].take_events(), [Event::Doubted(Rc::clone(&name)), Event::Gone(Rc::clone(&name))]);
+    assert_eq!((all[0].table.may_be_serving(), all[0].table.present().count()), (3, 2));
+    carry(&mut all, 10 * SECOND, 12 * SECOND, &[]);
+    let told = all[0].take_events();
+    assert!(told.contains(&Event::Returned(name)), "{told:?}");
+    assert!(all.iter().all(|one| states(one) == [State::Present; 3]));
+}
+
+#[test]
+fn who_leaves_is_proven_gone_at_once() {
+    let mut all: Vec<Accord> = (0..4).map(accord).collect();
+    carry(&mut all, 0, 3 * SECOND, &[]);
+    all[2].leave(3 * SECOND);
+    carry(&mut all, 3 * SECOND, 3 * SECOND + 300 * MS, &[]);
+    assert!([0, 1, 3].iter().all(|&n| all[n].table.may_be_serving() == 2));
+}
+
+/// A process that was stopped finds all its time-outs over at once, and would call everybody dead.
+#[rstest]
+#[case::stopped(20 * SECOND, true)]
+#[case::a_little_late(200 * MS, false)]
+fn who_slept_doubts_nobody_until_it_is_heard(#[case] lasted: Micros, #[case] slept: bool) {
+    let mut all: Vec<Accord> = (0..4).map(accord).collect();
+    carry(&mut all, 0, 3 * SECOND, &[]);
+    all[1].take_events();
+    all[1].due(3 * SECOND + lasted);
+    assert_eq!((all[1].is_heard(), all[1].slept()), (!slept, u64::from(slept)));
+    // Nobody hears it: however long it waits, it judges nobody.
+    for at in 0..100 {
+        all[1].due(3 * SECOND + lasted + at * 100 * MS);
+    }
+    let judged = all[1].take_events().iter().any(|event| matches!(event, Event::Doubted(_) | Event::Gone(_)));
+    assert_eq!(judged, !slept);
+}
+
+/// The carrier's clock goes on by itself; a wall clock that jumps is seen only as `born`.
+#[test]
+fn time_that_seems_to_go_back_changes_nothing() {
+    let mut all: Vec<Accord> = (0..2).map(accord).collect();
+    carry(&mut all, 0, 2 * SECOND, &[]);
+    all[0].due(SECOND);
+    assert!(all[0].is_heard() && all[0].next_due() > 2 * SECOND - MS);
+}
+
+#[test]
+fn who_comes_back_without_memory_and_with_its_clock_set_back_is_taken_in() {
+    let mut all: Vec<Accord> = (0..3).map(accord).collect();
+    carry(&mut all, 0, 3 * SECOND, &[]);
+    all[2] = Accord::new(Part { born: 7, ..part(2) }, Key::new(b"0123456789abcdef").unwrap(), 99, 3 * SECOND);
+    carry(&mut all, 3 * SECOND, 6 * SECOND, &[]);
+    let life = all[2].life();
+    for one in &all[..2] {
+        let known = one.table.named("b2").unwrap();
+        assert_eq!((known.record.life, known.record.state, known.may_serve()), (life, State::Present, 1));
+    }
+    assert!(!all[2].table.name_is_taken());
+}
+
+#[test]
+fn of_two_processes_of_one_name_the_later_keeps_quiet() {
+    let mut all: Vec<Accord> = (0..3).map(accord).collect();
+    let elsewhere = Part { address: SocketAddr::from(([127, 0, 0, 1], 7_003)), born: 9_000, ..part(1) };
+    all.push(Accord::new(elsewhere, Key::new(b"0123456789abcdef").unwrap(), 50, 0));
+    carry(&mut all, 0, 10 * SECOND, &[]);
+    assert!(all[3].take_events().contains(&Event::NameTaken));
+    let told = all[3].tally().sent;
+    carry(&mut all, 10 * SECOND, 12 * SECOND, &[]);
+    assert_eq!(all[3].tally().sent, told);
+    // Both may be serving, whoever speaks.
+    assert_eq!(all[0].table.named("b1").unwrap().may_serve(), 2);
+}
+
+/// Ten thousand a second from a stranger: each costs a hash, and nothing else happens.
+#[test]
+fn strangers_and_listeners_change_nothing() {
+    let mut all: Vec<Accord> = (0..3).map(accord).collect();
+    carry(&mut all, 0, 2 * SECOND, &[]);
+    all[0].take_datagrams();
+    all[1].due(2 * SECOND + 400 * MS);
+    let sent = all[1].take_datagrams().into_iter().find(|(to, _)| to.port() == 7_000).unwrap().1;
+    all[0].heard(2 * SECOND + 400 * MS, &sent);
+    let (taken, members) = (all[0].tally().taken, all[0].table.members.len());
+    for number in 0..1_000 {
+        all[0].heard(2 * SECOND + 400 * MS, &sent);
+        let mut spoilt = sent.clone();
+        spoilt[number % sent.len()] ^= 1;
+        all[0].heard(2 * SECOND + 400 * MS, &spoilt);
+    }
+    let dropped = &all[0].tally().dropped;
+    assert_eq!((all[0].tally().taken, all[0].table.members.len()), (taken, members));
+    assert_eq!((dropped[&Drop::Replayed], dropped[&Drop::Hash]), (1_000, 1_000));
+}
--- /dev/null
+++ b/lab/src/accord/clockwork.rs
@@ -0,0 +1,350 @@
+//! Many accords on one virtual clock: each with a clock of its own that runs up to 1 % fast or slow, and a network that
+//! does to datagrams what the scenario says. One seed, one run.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+
+use pinefront_accord::envelope::{Key, Life};
+use pinefront_accord::membership::table::Event;
+use pinefront_accord::{Accord, Part, Planted};
+use pinefront_model::chance::Chance;
+use pinefront_model::{Micros, SECOND};
+
+use super::judge::Judge;
+use super::scenario::{Deed, Kind, Scenario};
+
+/// How far clock rates lie apart, as a part of 1 to either side.
+const RATES_APART: f64 = 0.01;
+/// How often all views are looked at.
+const LOOKS_EVERY: Micros = 250_000;
+/// Members that all others know from their files.
+const SEEDS: usize = 3;
+const SENT_KEPT: usize = 256;
+
+/// What one seed came to.
+#[derive(Debug, Default)]
+pub struct Played {
+    pub broken: Vec<String>,
+    pub seconds: f64,
+    pub member_seconds: f64,
+    pub sent: u64,
+    pub sent_bytes: u64,
+    pub detected_ms: Vec<f64>,
+    pub one_view_ms: Option<f64>,
+    pub wrong_doubts: u64,
+    /// Of all that was sent, in its order: equal for equal runs.
+    pub trace: u64,
+}
+
+enum What {
+    Deed(Deed),
+    Comes { to: SocketAddr, bytes: Vec<u8> },
+    Wakes { member: usize, turn: u64 },
+    Look,
+}
+
+/// One process of a member, or the place where the next one will run.
+pub struct Process {
+    pub accord: Option<Accord>,
+    pub address: SocketAddr,
+    pub life: Option<Life>,
+    pub stopped: bool,
+    waiting: VecDeque<Vec<u8>>,
+    /// Local time at the start of the run, and how fast it runs.
+    began: Micros,
+    rate: f64,
+    turn: u64,
+    starts: u64,
+}
+
+impl Process {
+    fn local(&self, now: Micros) -> Micros {
+        self.began + (now as f64 * self.rate) as Micros
+    }
+
+    fn global(&self, local: Micros) -> Micros {
+        (local.saturating_sub(self.began) as f64 / self.rate).ceil() as Micros
+    }
+}
+
+pub fn address(place: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (place / 250) as u8, (place % 250) as u8 + 1], 7_000))
+}
+
+pub fn name(member: usize) -> String {
+    format!("b{member}")
+}
+
+struct Run {
+    now: Micros,
+    order: u64,
+    queue: BinaryHeap<Reverse<(Micros, u64, usize)>>,
+    events: Vec<Option<What>>,
+    free: Vec<usize>,
+    processes: Vec<Process>,
+    at_address: BTreeMap<SocketAddr, usize>,
+    scenario: Scenario,
+    chance: Chance,
+    key: Key,
+    seed: u64,
+    planted: Option<Planted>,
+    judge: Judge,
+    /// Datagrams that somebody listened to, to be sent again.
+    listened: VecDeque<(SocketAddr, Vec<u8>)>,
+    played: Played,
+}
+
+pub fn play(seed: u64, members: usize, kind: Option<Kind>, planted: Option<Planted>) -> Played {
+    let scenario = Scenario::draw(seed, members, kind);
+    let mut chance = Chance::split(seed, "clockwork", 0);
+    let processes: Vec<Process> = (0..members)
+        .map(|member| Process {
+            accord: None,
+            address: address(member),
+            life: None,
+            stopped: false,
+            waiting: VecDeque::new(),
+            began: SECOND + chance.span(1_000 * SECOND),
+            rate: 1.0 + RATES_APART * (2.0 * chance.unit() - 1.0),
+            turn: 0,
+            starts: 0,
+        })
+        .collect();
+    let Ok(key) = Key::new(b"a key for the virtual clock") else { return Played::default() };
+    let judge = Judge::new(members, &scenario);
+    let mut run = Run {
+        now: 0,
+        order: 0,
+        queue: BinaryHeap::new(),
+        events: Vec::new(),
+        free: Vec::new(),
+        at_address: (0..members).map(|member| (address(member), member)).collect(),
+        processes,
+        scenario,
+        chance,
+        key,
+        seed,
+        planted,
+        judge,
+        listened: VecDeque::new(),
+        played: Played::default(),
+    };
+    run.whole();
+    run.played
+}
+
+impl Run {
+    fn hang(&mut self, at: Micros, what: What) {
+        self.order += 1;
+        let place = self.free.pop().unwrap_or_else(|| {
+            self.events.push(None);
+            self.events.len() - 1
+        });
+        self.events[place] = Some(what);
+        self.queue.push(Reverse((at, self.order, place)));
+    }
+
+    fn whole(&mut self) {
+        for (at, deed) in self.scenario.deeds.clone() {
+            self.hang(at, What::Deed(deed));
+        }
+        self.hang(LOOKS_EVERY, What::Look);
+        while let Some(Reverse((at, _, place))) = self.queue.pop() {
+            if at > self.scenario.ends {
+                break;
+            }
+            self.now = at;
+            let Some(what) = self.events[place].take() else { continue };
+            self.free.push(place);
+            self.happens(what);
+            if !self.judge.broken.is_empty() {
+                break;
+            }
+        }
+        self.judge.ends(self.now, &self.processes);
+        let members = self.processes.len() as f64;
+        self.played.seconds = self.now as f64 / SECOND as f64;
+        self.played.member_seconds = self.played.seconds * members;
+        for process in self.processes.iter().filter_map(|process| process.accord.as_ref()) {
+            self.played.sent += process.tally().sent;
+            self.played.sent_bytes += process.tally().sent_bytes;
+        }
+        self.played.broken = std::mem::take(&mut self.judge.broken);
+        self.played.detected_ms = std::mem::take(&mut self.judge.detected_ms);
+        self.played.one_view_ms = self.judge.one_view_ms;
+        self.played.wrong_doubts = self.judge.wrong_doubts;
+    }
+
+    fn happens(&mut self, what: What) {
+        match what {
+            What::Deed(deed) => self.deed(deed),
+            What::Comes { to, bytes } => {
+                let Some(&member) = self.at_address.get(&to) else { return };
+                let process = &mut self.processes[member];
+                if process.address != to || process.accord.is_none() {
+                    return;
+                }
+                if process.stopped {
+                    process.waiting.push_back(bytes);
+                    return;
+                }
+                self.judge.comes(member, &bytes);
+                let local = process.local(self.now);
+                if let Some(accord) = process.accord.as_mut() {
+                    accord.heard(local, &bytes);
+                }
+                self.after(member, false);
+            }
+            What::Wakes { member, turn } => {
+                let process = &mut self.processes[member];
+                if process.turn != turn || process.stopped {
+                    return;
+                }
+                let local = process.local(self.now);
+                if let Some(accord) = process.accord.as_mut() {
+                    accord.due(local);
+                }
+                self.after(member, false);
+            }
+            What::Look => {
+                self.hang(self.now + LOOKS_EVERY, What::Look);
+                self.judge.look(self.now, &self.processes);
+            }
+        }
+    }
+
+    fn deed(&mut self, deed: Deed) {
+        match deed {
+            Deed::Start(member) => self.start(member, member),
+            Deed::StartAt(member, place) => self.start(member, place),
+            Deed::Kill(member) => {
+                let process = &mut self.processes[member];
+                process.accord = None;
+                process.waiting.clear();
+                self.judge.dies(self.now, member);
+            }
+            Deed::Leave(member) => {
+                let process = &mut self.processes[member];
+                let local = process.local(self.now);
+                self.judge.leaves(self.now, member);
+                if let Some(accord) = process.accord.as_mut() {
+                    accord.leave(local);
+                }
+                self.send(member);
+                self.processes[member].accord = None;
+            }
+            Deed::Stop(member) => self.processes[member].stopped = true,
+            Deed::GoOn(member) => {
+                let process = &mut self.processes[member];
+                process.stopped = false;
+                let (local, waiting) = (process.local(self.now), std::mem::take(&mut process.waiting));
+                // Which comes first, what fell due or what lies in the socket, is the carrier's affair.
+                if self.chance.happens(0.5)
+                    && let Some(accord) = self.processes[member].accord.as_mut()
+                {
+                    accord.due(local);
+                    let events = accord.take_events();
+                    self.told(member, &events, true);
+                }
+                for bytes in waiting {
+                    self.judge.comes(member, &bytes);
+                    if let Some(accord) = self.processes[member].accord.as_mut() {
+                        accord.heard(local, &bytes);
+                    }
+                }
+                if let Some(accord) = self.processes[member].accord.as_mut() {
+                    accord.due(local);
+                }
+                self.after(member, true);
+            }
+        }
+    }
+
+    fn start(&mut self, member: usize, place: usize) {
+        let now = self.now;
+        let process = &mut self.processes[member];
+        process.starts += 1;
+        process.address = address(place);
+        process.stopped = false;
+        process.waiting.clear();
+        let mut chance = Chance::split(self.seed, "process", member as u64 * 1_000 + process.starts);
+        // Clocks of machines differ by seconds, and one may have been set back before a restart.
+        let born = 1_000 * SECOND + now + chance.span(4 * SECOND);
+        #[cfg_attr(not(any(test, feature = "planted")), allow(unused_mut))]
+        let mut accord = Accord::new(
+            Part {
+                fleet: "f".into(),
+                name: name(member),
+                zone: ["a", "b", "c"][member % 3].into(),
+                address: process.address,
+                seeds: (0..SEEDS).map(address).collect(),
+                born,
+                probe_every: Part::PROBE_EVERY,
+                answer_within: Part::ANSWER_WITHIN,
+                doubt_least: Part::DOUBT_LEAST,
+            },
+            self.key.clone(),
+            chance.whole(),
+            process.local(now),
+        );
+        if let Some(_fault) = self.planted {
+            #[cfg(any(test, feature = "planted"))]
+            accord.plant(_fault);
+        }
+        process.life = Some(accord.life());
+        process.accord = Some(accord);
+        self.at_address.insert(self.processes[member].address, member);
+        let process = &self.processes[member];
+        self.judge.starts(now, member, process.life, process.address);
+        self.after(member, false);
+    }
+
+    /// Takes what a process has to say after it was told something, and hangs its next waking.
+    fn after(&mut self, member: usize, woke: bool) {
+        self.send(member);
+        let process = &mut self.processes[member];
+        let Some(accord) = process.accord.as_mut() else { return };
+        let (events, next) = (accord.take_events(), accord.next_due());
+        let next = process.global(next).max(self.now + 1);
+        process.turn += 1;
+        let turn = process.turn;
+        self.hang(next, What::Wakes { member, turn });
+        self.told(member, &events, woke);
+    }
+
+    fn told(&mut self, member: usize, events: &[Event], woke: bool) {
+        if !events.is_empty() {
+            self.judge.told(self.now, member, events, woke, &self.processes);
+        }
+    }
+
+    fn send(&mut self, member: usize) {
+        let Some(accord) = self.processes[member].accord.as_mut() else { return };
+        for (to, mut bytes) in accord.take_datagrams() {
+            for byte in &bytes {
+                self.played.trace = (self.played.trace ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+            }
+            let Some(&other) = self.at_address.get(&to) else { continue };
+            let carried = self.scenario.ways.carry(member, other, self.now, &mut self.chance);
+            let stolen = self.chance.happens(self.scenario.replayed);
+            if stolen {
+                self.listened.push_back((to, bytes.clone()));
+                if self.listened.len() > SENT_KEPT {
+                    self.listened.pop_front();
+                }
+                let again = self.chance.below(self.listened.len());
+                let (to, bytes) = self.listened[again].clone();
+                let at = self.now + self.chance.span(3 * SECOND);
+                self.hang(at, What::Comes { to, bytes });
+            }
+            if let Some(part) = carried.spoilt {
+                let bit = (part * bytes.len() as f64 * 8.0) as usize;
+                bytes[bit / 8] ^= 1 << (bit % 8);
+            }
+            for delay in carried.copies {
+                self.hang(self.now + delay, What::Comes { to, bytes: bytes.clone() });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/accord/mod.rs
@@ -0,0 +1,147 @@
+//! `pinefront-lab accord`: the accord of many members on a virtual clock, no process, under faults drawn from seeds.
+
+pub mod clockwork;
+pub mod judge;
+pub mod scenario;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use pinefront_accord::Planted;
+use serde::Serialize;
+
+use crate::world::locked;
+
+/// Seeds that broke which are kept; more are only counted.
+const BROKEN_KEPT: usize = 50;
+
+/// One seed that broke a promise.
+#[derive(Clone, Debug, Serialize)]
+pub struct Broken {
+    pub seed: u64,
+    pub what: String,
+    /// The command that plays it again.
+    pub replay: String,
+}
+
+#[derive(Debug, Serialize)]
+pub struct Found {
+    pub seeds: u64,
+    pub members: usize,
+    pub broken: Vec<Broken>,
+    pub broken_count: u64,
+    pub virtual_seconds: f64,
+    /// Datagrams and bytes that a member sends in a second.
+    pub datagrams_a_second: f64,
+    pub bytes_a_second: f64,
+    /// From a death to each of the others holding it for gone, in milliseconds.
+    pub detected_ms: Spread,
+    /// From the last fault's end to one view in all tables.
+    pub one_view_ms: Spread,
+    /// Doubts of members that were there and reachable, an hour of a fleet.
+    pub wrong_doubts_an_hour: f64,
+}
+
+#[derive(Debug, Default, Serialize)]
+pub struct Spread {
+    pub count: usize,
+    pub p50: f64,
+    pub p99: f64,
+    pub worst: f64,
+}
+
+pub fn spread(mut values: Vec<f64>) -> Spread {
+    values.sort_by(f64::total_cmp);
+    let at = |part: f64| values.get(((values.len() as f64 - 1.0) * part).round() as usize).copied();
+    Spread {
+        count: values.len(),
+        p50: at(0.5).unwrap_or(0.0),
+        p99: at(0.99).unwrap_or(0.0),
+        worst: at(1.0).unwrap_or(0.0),
+    }
+}
+
+/// What is wanted.
+#[derive(Clone, Debug)]
+pub struct Wish {
+    pub seeds: std::ops::Range<u64>,
+    pub members: usize,
+    pub planted: Option<Planted>,
+    pub kind: Option<scenario::Kind>,
+    /// Ends at the first seed that breaks.
+    pub first_only: bool,
+}
+
+fn planted_name(planted: Planted) -> &'static str {
+    Planted::ALL.iter().find(|(_, fault)| *fault == planted).map_or("", |(name, _)| name)
+}
+
+/// Plays all seeds on all cores.
+pub fn play(wish: &Wish, over: &AtomicBool) -> Found {
+    let next = AtomicU64::new(wish.seeds.start);
+    let all = Mutex::new(Vec::new());
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let ended = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= wish.seeds.end || over.load(Ordering::Relaxed) || ended.load(Ordering::Relaxed)
+                    {
+                        return;
+                    }
+                    let played = clockwork::play(seed, wish.members, wish.kind, wish.planted);
+                    if wish.first_only && !played.broken.is_empty() {
+                        ended.store(true, Ordering::Relaxed);
+                    }
+                    locked(&all).push((seed, played));
+                }
+            });
+        }
+    });
+    let mut all = std::mem::take(&mut *locked(&all));
+    all.sort_by_key(|(seed, _)| *seed);
+    gather(wish, &all)
+}
+
+fn gather(wish: &Wish, all: &[(u64, clockwork::Played)]) -> Found {
+    let total =
+        |of: &dyn Fn(&clockwork::Played) -> f64| all.iter().map(|(_, played)| of(played)).sum::<f64>();
+    let seconds = total(&|played| played.seconds).max(1e-9);
+    let member_seconds = total(&|played| played.member_seconds).max(1e-9);
+    let list = |of: &dyn Fn(&clockwork::Played) -> Vec<f64>| {
+        spread(all.iter().flat_map(|(_, played)| of(played)).collect())
+    };
+    let mut broken = Vec::new();
+    for (seed, played) in all {
+        for what in &played.broken {
+            let planted = wish.planted.map(planted_name);
+            let planted = planted.map_or(String::new(), |name| format!(" --plant {name}"));
+            let kind = wish.kind.map_or(String::new(), |kind| format!(" --kind {}", kind.name()));
+            let replay = format!(
+                "pinefront-lab accord --seeds {seed}..{} --members {}{kind}{planted}",
+                seed + 1,
+                wish.members
+            );
+            broken.push(Broken { seed: *seed, what: what.clone(), replay });
+        }
+    }
+    let broken_count = all.iter().filter(|(_, played)| !played.broken.is_empty()).count() as u64;
+    broken.truncate(BROKEN_KEPT);
+    Found {
+        seeds: all.len() as u64,
+        members: wish.members,
+        broken,
+        broken_count,
+        virtual_seconds: seconds,
+        datagrams_a_second: total(&|played| played.sent as f64) / member_seconds,
+        bytes_a_second: total(&|played| played.sent_bytes as f64) / member_seconds,
+        detected_ms: list(&|played| played.detected_ms.clone()),
+        one_view_ms: list(&|played| played.one_view_ms.into_iter().collect()),
+        wrong_doubts_an_hour: total(&|played| played.wrong_doubts as f64) / seconds * 3600.0,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/lab/src/accord/tests.rs
@@ -0,0 +1,34 @@
+use std::sync::atomic::AtomicBool;
+
+use pinefront_accord::Planted;
+use rstest::rstest;
+
+use super::scenario::Kind;
+use super::*;
+
+fn wish(seeds: std::ops::Range<u64>, planted: Option<Planted>) -> Wish {
+    Wish { seeds, members: 8, planted, kind: None, first_only: planted.is_some() }
+}
+
+#[test]
+fn no_promise_is_broken() {
+    let found = play(&wish(0..12, None), &AtomicBool::new(false));
+    assert_eq!((found.seeds, found.broken.first().map(|broken| broken.what.clone())), (12, None));
+}
+
+/// Four of the eight; all eight: `cargo run --release -p pinefront-lab --features planted -- accord --plant NAME`.
+#[rstest]
+#[case::incarnation(Planted::IncarnationGoesBack)]
+#[case::silent(Planted::SilentCountsAsGone)]
+#[case::asking(Planted::DoubtsWithoutAsking)]
+#[case::sleep(Planted::SleepUnnoticed)]
+fn a_planted_fault_is_found(#[case] planted: Planted) {
+    let found = play(&wish(0..400, Some(planted)), &AtomicBool::new(false));
+    assert!(!found.broken.is_empty(), "none of {} seeds found it", found.seeds);
+}
+
+#[test]
+fn one_seed_is_one_run() {
+    let trace = || clockwork::play(7, 10, Some(Kind::Any), None).trace;
+    assert_eq!(trace(), trace());
+}
--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -75,6 +75,8 @@
     pub number: usize,
     pub listen: SocketAddr,
     config: PathBuf,
+    /// Its operator file, where the day has one.
+    operator: Option<PathBuf>,
     binary: PathBuf,
     child: Option<Child>,
     lines: Arc<Mutex<VecDeque<String>>>,
@@ -88,6 +90,7 @@
 impl Balancer {
     pub fn new(
         day: &Day, seed: u64, number: usize, binary: &Path, folder: &Path, discovery: SocketAddr,
+        operator: Option<PathBuf>,
     ) -> io::Result<Self> {
         // Nobody else takes the port meanwhile unless the machine is short of them; then the start says so.
         let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
@@ -102,6 +105,7 @@
             number,
             listen,
             config,
+            operator,
             binary: binary.to_owned(),
             child: None,
             lines: Arc::default(),
@@ -116,6 +120,7 @@
             .arg("serve")
             .arg("--config")
             .arg(&self.config)
+            .args(self.operator.iter().flat_map(|file| ["--operator".into(), file.clone()]))
             .env_remove("BALANCER_NAME")
             .env_remove("BALANCER_LISTEN")
             .env_remove("BALANCER_DISCOVERY")
@@ -191,8 +196,18 @@
         self.signal(Signal::TERM);
     }
 
+    /// Stops it where it stands, or lets it go on.
+    pub fn stop(&self, stops: bool) {
+        let signal = if stops { Signal::STOP } else { Signal::CONT };
+        if let Some(pid) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
+            // One that has ended already needs no signal.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
     /// Tells it to end, waits, and kills it where that takes too long.
     pub fn end(&mut self) {
+        self.stop(false);
         self.tell_to_end();
         let until = Instant::now() + ENDS_WITHIN;
         while self.is_running() && !self.has_died() && Instant::now() < until {
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::clients::{Collected, Tickets};
+use crate::fleet::Known;
 
 /// Milliseconds.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -62,6 +63,9 @@
     pub dispatches_per_ticket: f64,
     pub sends: Vec<u64>,
     pub seconds: Vec<Second>,
+    /// What balancers knew of each other, on a day of a fleet.
+    #[serde(flatten)]
+    pub known: Option<Known>,
     /// Ended before the day was over.
     pub cut_short: bool,
 }
@@ -86,7 +90,10 @@
 
     /// Whether all is as it must be, whatever the service.
     pub fn is_sound(&self) -> bool {
-        self.rules_broken_count == 0 && self.deaths.is_empty()
+        let known = self.known.as_ref();
+        self.rules_broken_count == 0
+            && self.deaths.is_empty()
+            && known.is_none_or(|known| known.wrongly_gone == 0 && known.views_agree_after_ms.is_some())
     }
 
     pub fn table(&self) -> String {
@@ -128,6 +135,25 @@
             format!("p99 {:.2} ms, most {:.2}", self.lateness_ms.p99, self.lateness_ms.max),
         );
         line("the lab itself", format!("{:.0} MB", self.lab_memory_mb));
+        if let Some(known) = &self.known {
+            let agree = known
+                .views_agree_after_ms
+                .map_or("NEVER AGREE".into(), |ms| format!("agree {ms:.0} ms after the last fault"));
+            line("views", format!("{agree}, of {} looks", known.looks));
+            let times = crate::accord::spread(known.detected_ms.clone());
+            line(
+                "who is away",
+                format!("noticed after {:.0} ms, worst {:.0} of {}", times.p50, times.worst, times.count),
+            );
+            line(
+                "wrongly gone",
+                format!(
+                    "{}; held for silent while running: {}",
+                    known.wrongly_gone, known.held_gone_while_running
+                ),
+            );
+            known.why.iter().for_each(|why| line("", why.clone()));
+        }
         match self.rules_broken_count {
             0 => line("rules", "none broken".into()),
             count => {
--- /dev/null
+++ b/lab/src/fleet/drawn.rs
@@ -0,0 +1,60 @@
+//! Days of trouble drawn from a seed: fault, victim, time and overlap.
+
+use pinefront_model::chance::Chance;
+use pinefront_model::day::{Day, Fault, Kind, Span};
+use pinefront_model::{Micros, SECOND};
+
+/// Calm at the start, for all to know each other, and at the end, for all to agree again.
+const CALM: (Micros, Micros) = (4 * SECOND, 8 * SECOND);
+const FAULTS_MOST: usize = 4;
+
+const KINDS: [Kind; 9] = [
+    Kind::LinkCut,
+    Kind::LinkCut,
+    Kind::LinkLossy,
+    Kind::LinkSlow,
+    Kind::LinkRepeats,
+    Kind::LinkSpoils,
+    Kind::BalancerStalled,
+    Kind::BalancerKilled,
+    Kind::BalancerHurt,
+];
+
+/// Puts drawn faults in the place of a day's own. No balancer is hit by two that end its process or stop it.
+pub fn draw(day: &mut Day, seed: u64) {
+    let mut chance = Chance::split(seed, "fleet faults", 0);
+    let (balancers, length) = (*day.balancers.get_ref(), day.length.get_ref().0);
+    let room = length.saturating_sub(CALM.0 + CALM.1).max(SECOND);
+    day.faults.clear();
+    let mut hit = Vec::new();
+    for _ in 0..1 + chance.below(FAULTS_MOST) {
+        let kind = KINDS[chance.below(KINDS.len())];
+        let at = CALM.0 + chance.span(room * 2 / 3);
+        let lasts = (200_000 + chance.span(room / 2)).min(CALM.0 + room - at);
+        let on_ways = kind.hits_ways();
+        let count = if on_ways { 1 + chance.below((balancers / 2).max(1)) } else { 1 };
+        let side = chance.some_of(count, balancers);
+        if !on_ways && hit.contains(&side[0]) {
+            continue;
+        }
+        if !on_ways {
+            hit.push(side[0]);
+        }
+        let fault = Fault {
+            kind,
+            at: Span(at),
+            lasts: Span(lasts),
+            servers: None,
+            zone: None,
+            machine: None,
+            part: None,
+            balancers: Some(side),
+            against: None,
+            one_way: kind == Kind::LinkCut && chance.happens(0.4),
+            factor: None,
+            by: (kind == Kind::LinkSlow).then(|| Span(10_000 + chance.span(300_000))),
+            over: Span(0),
+        };
+        day.faults.push(toml::Spanned::new(0..0, fault));
+    }
+}
--- /dev/null
+++ b/lab/src/fleet/mod.rs
@@ -0,0 +1,81 @@
+//! The rig for several real balancers: a relay on each way between two of them, their views of one another taken down
+//! and judged against the truth, and days drawn from a seed.
+
+pub mod drawn;
+pub mod relays;
+pub mod views;
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+
+use pinefront_model::day::Day;
+use serde::Serialize;
+
+/// What was found of the balancers' knowledge of each other.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Known {
+    /// From the last fault's end until all views were right, and stayed so; none where they never were.
+    pub views_agree_after_ms: Option<f64>,
+    /// Times that a balancer that served was taken for proven gone, or not counted among those that may serve.
+    pub wrongly_gone: u64,
+    /// From each death or stall to each other balancer's holding it for gone.
+    pub detected_ms: Vec<f64>,
+    /// Balancers that ran, were not stopped and were held for gone all the same, each once.
+    pub held_gone_while_running: u64,
+    pub looks: u64,
+    pub relayed: u64,
+    pub relay_lost: u64,
+    pub why: Vec<String>,
+}
+
+/// Addresses where balancers hear one another, and where each sends to reach another past a relay.
+pub struct Addresses {
+    pub heard_at: Vec<SocketAddr>,
+    /// By sender, then by receiver.
+    pub via: Vec<BTreeMap<SocketAddr, SocketAddr>>,
+    pub sockets: Vec<(usize, usize, std::net::UdpSocket)>,
+}
+
+/// The first so many are in every file.
+const SEEDS: usize = 3;
+
+impl Addresses {
+    pub fn new(balancers: usize) -> std::io::Result<Self> {
+        let free = || UdpSocket::bind("127.0.0.1:0").and_then(|socket| Ok((socket.local_addr()?, socket)));
+        // Held together, so that none is given twice; let go for the balancers to take.
+        let held: Vec<_> = (0..balancers).map(|_| free()).collect::<Result<_, _>>()?;
+        let heard_at: Vec<SocketAddr> = held.iter().map(|one| one.0).collect();
+        let (mut via, mut sockets) = (vec![BTreeMap::new(); balancers], Vec::new());
+        for (from, via) in via.iter_mut().enumerate() {
+            for to in (0..balancers).filter(|to| *to != from) {
+                let (address, socket) = free()?;
+                socket.set_nonblocking(true)?;
+                via.insert(heard_at[to], address);
+                sockets.push((from, to, socket));
+            }
+        }
+        Ok(Self { heard_at, via, sockets })
+    }
+
+    /// Writes the operator file of one balancer.
+    pub fn operator_file(&self, day: &Day, number: usize, folder: &Path) -> std::io::Result<PathBuf> {
+        // One for each, all the same: another balancer may be reading its own meanwhile.
+        let key = folder.join(format!("b{number}.key"));
+        std::fs::write(&key, "a key for the lab's own fleet\n")?;
+        let seeds: Vec<_> = self.heard_at.iter().take(SEEDS).map(|seed| format!("\"{seed}\"")).collect();
+        let via: Vec<_> =
+            self.via[number].iter().map(|(to, via)| format!("\"{to}\" = \"{via}\"\n")).collect();
+        let text = format!(
+            "[fleet]\nname = \"lab\"\nkey_file = \"{}\"\nlisten = \"{}\"\nseeds = [{}]\nzone = \"{}\"\n[fleet.via]\n{}",
+            key.display(),
+            self.heard_at[number],
+            seeds.join(", "),
+            day.fleet.zones[number % day.fleet.zones.len()],
+            via.concat()
+        );
+        let path = folder.join(format!("b{number}.toml"));
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+}
--- /dev/null
+++ b/lab/src/fleet/views.rs
@@ -0,0 +1,195 @@
+//! Asks every balancer what it holds of the others, again and again, and judges that against the truth: who ran, who
+//! was stopped, who was killed, at the moment of each answer.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use pinefront_model::faults::What;
+use pinefront_model::{Micros, SECOND};
+use serde::Deserialize;
+use tokio::net::TcpStream;
+
+use crate::fleet::Known;
+use crate::http;
+use crate::world::{World, locked};
+
+/// How often each balancer is asked, and how long it may take: one that is stopped never answers.
+const LOOKS_APART: Duration = Duration::from_millis(100);
+const ANSWERS_WITHIN: Duration = Duration::from_millis(400);
+/// A stall that others must notice.
+const LONG_STALL: Micros = 4 * SECOND;
+const WHYS_KEPT: usize = 20;
+
+#[derive(Debug, Deserialize)]
+struct Seen {
+    name: String,
+    life: String,
+    state: String,
+    standing: BTreeMap<String, String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct View {
+    life: String,
+    may_be_serving: usize,
+    members: Vec<Seen>,
+}
+
+/// What is true of one balancer.
+#[derive(Clone, Debug, Default)]
+struct Truth {
+    /// The process that runs, as it names itself; nothing until it was asked.
+    life: Option<String>,
+    runs: bool,
+    stopped: bool,
+    /// When it last came, went, stopped or went on.
+    since: Micros,
+    /// Since when it is dead or stalled for long, and who has noticed.
+    away: Option<Micros>,
+    noticed: BTreeSet<usize>,
+    blamed: bool,
+}
+
+pub struct Views {
+    truth: Vec<Truth>,
+    known: Known,
+    /// When the last fault is over, and since when all views are right.
+    over: Micros,
+    right_since: Option<Micros>,
+    /// Whose last view was right, and why not.
+    right: Vec<Result<(), String>>,
+}
+
+impl Views {
+    pub fn new(world: &World, balancers: usize) -> Self {
+        let line = world.line();
+        let events = line.events.iter().filter(|(_, what)| {
+            matches!(
+                what,
+                What::BalancerStarts(_)
+                    | What::BalancerGoesOn(_)
+                    | What::BalancerKilled(_)
+                    | What::BalancerStopped(_)
+            )
+        });
+        let over = events.map(|(at, _)| *at).max().unwrap_or(0).max(line.ways.over());
+        let truth = vec![Truth { runs: true, ..Truth::default() }; balancers];
+        let right = vec![Err("never asked".into()); balancers];
+        Self { truth, known: Known::default(), over, right_since: None, right }
+    }
+
+    /// A balancer is about to be killed, stopped, or goes on.
+    pub fn happens(&mut self, now: Micros, what: What, stall_lasts: Micros) {
+        let (number, runs, stopped, away) = match what {
+            What::BalancerKilled(number) => (number, false, false, Some(now)),
+            What::BalancerStopped(number) => (number, false, false, None),
+            What::BalancerPauses(number) => (number, true, true, (stall_lasts >= LONG_STALL).then_some(now)),
+            What::BalancerGoesOn(number) | What::BalancerStarts(number) => (number, true, false, None),
+            _ => return,
+        };
+        let Some(truth) = self.truth.get_mut(number) else { return };
+        if !runs || matches!(what, What::BalancerStarts(_)) {
+            truth.life = None;
+        }
+        (truth.runs, truth.stopped, truth.since, truth.away) = (runs, stopped, now, away);
+        truth.noticed.clear();
+        self.right.iter_mut().for_each(|right| *right = Err("not asked since".into()));
+    }
+
+    fn wrong(&mut self, now: Micros, what: String) {
+        self.known.wrongly_gone += 1;
+        if self.known.why.len() < WHYS_KEPT {
+            self.known.why.push(format!("{:.1} s: {what}", now as f64 / 1e6));
+        }
+    }
+
+    /// A balancer answered: what it said was true at some moment between the two times.
+    fn take(&mut self, number: usize, asked: Micros, now: Micros, view: &View) {
+        self.known.looks += 1;
+        if !self.truth[number].runs || asked < self.truth[number].since {
+            return;
+        }
+        self.truth[number].life.get_or_insert_with(|| view.life.clone());
+        let mut serving = 0;
+        let mut right = Ok(());
+        for other in (0..self.truth.len()).filter(|other| *other != number) {
+            let seen = view.members.iter().find(|seen| seen.name == format!("b{other}"));
+            let truth = self.truth[other].clone();
+            let same = seen.filter(|seen| truth.life.as_ref() == Some(&seen.life));
+            if let Some(seen) = same
+                && truth.runs
+                && asked > truth.since
+            {
+                serving += 1;
+                if seen.standing.contains_key("proven_gone") {
+                    self.wrong(now, format!("b{number} takes b{other} for proven gone, which serves"));
+                }
+                let blames = seen.state == "gone" && !truth.stopped && now > truth.since + 10 * SECOND;
+                if blames && !truth.blamed {
+                    self.truth[other].blamed = true;
+                    self.known.held_gone_while_running += 1;
+                }
+            }
+            // The one that is away is known by the life before, which was forgotten with its death.
+            let gone = seen.is_some_and(|seen| matches!(seen.state.as_str(), "gone" | "left"));
+            if let Some(away) = truth.away.filter(|away| gone && asked >= *away)
+                && self.truth[other].noticed.insert(number)
+            {
+                self.known.detected_ms.push((now - away) as f64 / 1_000.0);
+            }
+            let state = seen.map_or("unknown", |seen| seen.state.as_str());
+            let fits = match truth.runs && !truth.stopped {
+                true => same.is_some() && state == "present",
+                false => state != "present",
+            };
+            if !fits {
+                right = Err(format!("b{number} holds b{other} for {state}"));
+            }
+        }
+        if view.may_be_serving < serving + 1 {
+            let what = format!("b{number} counts {} that may serve of {}", view.may_be_serving, serving + 1);
+            self.wrong(now, what);
+        }
+        self.right[number] = right;
+        let running = |n: &usize| self.truth[*n].runs && !self.truth[*n].stopped;
+        let all = (0..self.truth.len()).filter(running).all(|n| self.right[n].is_ok());
+        self.right_since = if all { self.right_since.or(Some(now)) } else { None };
+    }
+
+    /// What was found, when the day is over.
+    pub fn found(&self) -> Known {
+        let mut known = self.known.clone();
+        let after = |since: Micros| since.saturating_sub(self.over) as f64 / 1_000.0;
+        known.views_agree_after_ms = self.right_since.map(after);
+        if known.views_agree_after_ms.is_none() {
+            let wrong = self.right.iter().filter_map(|right| right.as_ref().err()).take(3);
+            known.why.extend(wrong.map(|wrong| format!("at the end {wrong}")));
+        }
+        known
+    }
+}
+
+/// Asks one balancer until the runtime ends.
+pub async fn watch(world: Arc<World>, views: Arc<Mutex<Views>>, number: usize, address: SocketAddr) {
+    loop {
+        tokio::time::sleep(LOOKS_APART).await;
+        let asked = world.now();
+        let answer = tokio::time::timeout(ANSWERS_WITHIN, ask(address)).await;
+        if let Ok(Ok(text)) = answer
+            && let Ok(view) = serde_json::from_slice::<View>(&text)
+        {
+            locked(&views).take(number, asked, world.now(), &view);
+        }
+    }
+}
+
+async fn ask(address: SocketAddr) -> std::io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(address).await?;
+    let text = "GET /fleet HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n";
+    tokio::io::AsyncWriteExt::write_all(&mut stream, text.as_bytes()).await?;
+    let mut kept = Vec::new();
+    let answer = http::read_answer(&mut stream, &mut kept).await?;
+    Ok(kept[answer.body].to_vec())
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,10 +1,12 @@
 //! `pinefront-lab`: runs pinefront before stand-in servers, plays days, measures.
 
+mod accord;
 mod balancers;
 mod baseline;
 mod clients;
 mod clock;
 mod figures;
+mod fleet;
 mod http;
 mod load;
 mod overhead;
@@ -51,6 +53,10 @@
     Load(LoadAt),
     /// Measures what a balancer costs: the same load straight to servers and through it
     Overhead(Overhead),
+    /// Plays a day with balancers that know each other, a relay on each way between two of them
+    Fleet(FleetDay),
+    /// Plays the accord of many members on a virtual clock, under faults drawn from seeds
+    Accord(AccordOf),
     /// Plays a day with plain policies as stand-in balancers, to compare with
     Baseline(Compare),
 }
@@ -141,6 +147,59 @@
     config: PathBuf,
 }
 
+#[derive(Args)]
+struct FleetDay {
+    day: PathBuf,
+    /// How many, in place of what the day says
+    #[arg(long)]
+    balancers: Option<usize>,
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Faults drawn from each of these seeds, in place of the day's own
+    #[arg(long, value_parser = seeds)]
+    seeds: Option<std::ops::Range<u64>>,
+    /// The balancer's program; the one beside this program where none is named
+    #[arg(long)]
+    binary: Option<PathBuf>,
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct AccordOf {
+    /// From the first seed up to the last, which is left out
+    #[arg(long, default_value = "0..500", value_parser = seeds)]
+    seeds: std::ops::Range<u64>,
+    #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(2..=600))]
+    members: u64,
+    /// One kind of scenario only
+    #[arg(long)]
+    kind: Option<accord::scenario::Kind>,
+    /// Plant a fault, in a lab built with --features planted
+    #[arg(long, value_parser = planted)]
+    plant: Option<pinefront_accord::Planted>,
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
+    let (from, to) = text.split_once("..").ok_or("is no range such as 0..500")?;
+    let number = |text: &str| text.parse::<u64>().map_err(|problem| problem.to_string());
+    let range = number(from)?..number(to)?;
+    if range.is_empty() { Err("holds no seed".into()) } else { Ok(range) }
+}
+
+fn planted(text: &str) -> Result<pinefront_accord::Planted, String> {
+    let all = pinefront_accord::Planted::ALL;
+    let known = all.iter().find(|(name, _)| *name == text);
+    if !cfg!(feature = "planted") {
+        return Err("this lab was built without --features planted".into());
+    }
+    known.map(|(_, fault)| *fault).ok_or_else(|| {
+        format!("is none of {}", all.iter().map(|(name, _)| *name).collect::<Vec<_>>().join(", "))
+    })
+}
+
 #[derive(Args)]
 struct LoadAt {
     /// Such as http://127.0.0.1:8080/look/1
@@ -267,7 +326,7 @@
     );
     let day = check_day(&text, "demo")?;
     let who = Who::Binary(demo.binary.clone().unwrap_or_else(balancers::own_binary));
-    let wishes = Wishes { live: true, by_hand: true, over: Arc::clone(over) };
+    let wishes = Wishes { live: true, by_hand: true, fleet: false, over: Arc::clone(over) };
     let figures = played(&day, day.seed, &who, &wishes)?;
     write_json(demo.json.as_deref(), &figures)?;
     sound(&[&figures])
@@ -280,7 +339,7 @@
             .map_err(|reason| Failure::Wrong(format!("--balancers: {reason}")))?;
     }
     let binaries = binaries(&run.binary);
-    let wishes = Wishes { live: true, by_hand: false, over: Arc::clone(over) };
+    let wishes = Wishes { live: true, by_hand: false, fleet: false, over: Arc::clone(over) };
     let first = run.seed.unwrap_or(day.seed);
     let mut all: Vec<Vec<Figures>> = binaries.iter().map(|_| Vec::new()).collect();
     for round in 0..run.rounds.unwrap_or(1) {
@@ -333,6 +392,67 @@
         .map_err(Failure::Failed)
 }
 
+fn fleet_day(options: &FleetDay, over: &Arc<AtomicBool>) -> Result<(), Failure> {
+    let mut day = read_day(&options.day)?;
+    if let Some(balancers) = options.balancers {
+        check::set_balancers(&mut day, balancers)
+            .map_err(|reason| Failure::Wrong(format!("--balancers: {reason}")))?;
+    }
+    let who = Who::Binary(options.binary.clone().unwrap_or_else(balancers::own_binary));
+    let wishes = Wishes { live: true, by_hand: false, fleet: true, over: Arc::clone(over) };
+    let Some(seeds) = options.seeds.clone() else {
+        let figures = played(&day, options.seed.unwrap_or(day.seed), &who, &wishes)?;
+        write_json(options.json.as_deref(), &figures)?;
+        return sound(&[&figures]);
+    };
+    let mut all = Vec::new();
+    for seed in seeds.take_while(|_| !over.load(Ordering::Relaxed)) {
+        let mut day = day.clone();
+        fleet::drawn::draw(&mut day, seed);
+        let figures = played(&day, seed, &who, &wishes)?;
+        if !figures.is_sound() {
+            println!("again: pinefront-lab fleet {} --seeds {seed}..{}", options.day.display(), seed + 1);
+        }
+        all.push(figures);
+    }
+    write_json(options.json.as_deref(), &all)?;
+    sound(&all.iter().collect::<Vec<_>>())
+}
+
+fn accord_of(options: &AccordOf, over: &Arc<AtomicBool>) -> Result<(), Failure> {
+    let wish = accord::Wish {
+        seeds: options.seeds.clone(),
+        members: options.members as usize,
+        planted: options.plant,
+        kind: options.kind,
+        first_only: false,
+    };
+    let found = accord::play(&wish, over);
+    for broken in found.broken.iter().take(10) {
+        println!("seed {}: {}\n  {}", broken.seed, broken.what, broken.replay);
+    }
+    println!(
+        "{} seeds of {} members, {:.0} virtual seconds: {} broke a promise",
+        found.seeds, found.members, found.virtual_seconds, found.broken_count
+    );
+    println!(
+        "a member sends {:.1} datagrams and {:.0} bytes a second",
+        found.datagrams_a_second, found.bytes_a_second
+    );
+    for (what, spread) in [("a death is known", &found.detected_ms), ("one view after", &found.one_view_ms)] {
+        println!(
+            "{what}: median {:.0} ms, p99 {:.0}, worst {:.0} of {}",
+            spread.p50, spread.p99, spread.worst, spread.count
+        );
+    }
+    println!("wrong doubts an hour: {:.1}", found.wrong_doubts_an_hour);
+    write_json(options.json.as_deref(), &found)?;
+    match found.broken_count {
+        0 => Ok(()),
+        _ => Err(Failure::Failed("a promise was broken; see above".into())),
+    }
+}
+
 fn load_at(options: &LoadAt, over: &Arc<AtomicBool>) -> Result<(), Failure> {
     if !(options.rate > 0.0 && options.rate <= 1e6) || options.clients == Some(0) || options.lasts.is_zero() {
         return Err(Failure::Wrong(
@@ -430,7 +550,7 @@
 fn compare(compare: &Compare, over: &Arc<AtomicBool>) -> Result<(), Failure> {
     let day = read_day(&compare.day)?;
     let policies = if compare.policy.is_empty() { Policy::ALL.to_vec() } else { compare.policy.clone() };
-    let wishes = Wishes { live: true, by_hand: false, over: Arc::clone(over) };
+    let wishes = Wishes { live: true, by_hand: false, fleet: false, over: Arc::clone(over) };
     let ours = compare.ours.then(balancers::own_binary);
     let binaries = ours.into_iter().chain(compare.binary.iter().cloned()).map(Who::Binary);
     let whos = binaries.chain(policies.into_iter().map(Who::Policy));
@@ -487,6 +607,8 @@
         Command::Stand(options) => stand(options, &over),
         Command::Load(options) => load_at(options, &over),
         Command::Overhead(options) => overhead(options, &over),
+        Command::Fleet(options) => fleet_day(options, &over),
+        Command::Accord(options) => accord_of(options, &over),
         Command::Baseline(options) => compare(options, &over),
     };
     match done {
--- a/lab/src/overhead.rs
+++ b/lab/src/overhead.rs
@@ -98,7 +98,7 @@
         let discovery = stand::discovery(&world, 0).await.map_err(|problem| problem.to_string())?;
         Ok::<_, String>((addresses, discovery))
     })?;
-    let child = Balancer::new(&world.day, 1, 0, &wishes.binary, &folder.0, discovery);
+    let child = Balancer::new(&world.day, 1, 0, &wishes.binary, &folder.0, discovery, None);
     let mut child = child.map_err(|problem| problem.to_string())?;
     child.start().map_err(|problem| problem.to_string())?;
     let listen = child.listen;
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use pinefront_model::Micros;
 use pinefront_model::day::Day;
 use pinefront_model::faults::What;
 use pinefront_model::judge::Seen;
@@ -18,6 +19,9 @@
 use crate::baseline::{self, Policy};
 use crate::clients::{Load, worker};
 use crate::figures::Figures;
+use crate::fleet::relays::{Relayed, relay};
+use crate::fleet::views::{Views, watch};
+use crate::fleet::{Addresses, Known};
 use crate::pace::{self, pace};
 use crate::stand;
 use crate::world::{World, locked};
@@ -62,6 +66,8 @@
     pub live: bool,
     /// Says how to ask a balancer by hand.
     pub by_hand: bool,
+    /// The balancers know each other, by way of relays.
+    pub fleet: bool,
     /// Set from outside to end the day early.
     pub over: Arc<AtomicBool>,
 }
@@ -129,7 +135,14 @@
             let event = world.line().events.get(done).copied();
             let Some((_, what)) = event.filter(|(at, _)| *at <= world.now()) else { break };
             done += 1;
-            if matches!(what, What::BalancerKilled(_) | What::BalancerStopped(_) | What::BalancerStarts(_)) {
+            if matches!(
+                what,
+                What::BalancerKilled(_)
+                    | What::BalancerStopped(_)
+                    | What::BalancerStarts(_)
+                    | What::BalancerPauses(_)
+                    | What::BalancerGoesOn(_)
+            ) {
                 // Nobody listens once the day is over.
                 let _ = balancers.send(what);
                 continue;
@@ -147,13 +160,26 @@
 struct Balancing {
     children: Arc<Mutex<Vec<Balancer>>>,
     addresses: Vec<SocketAddr>,
+    relayed: Arc<Relayed>,
     _folder: Folder,
 }
 
-async fn start_balancers(world: &Arc<World>, who: &Who) -> Result<Balancing, String> {
+async fn start_balancers(world: &Arc<World>, who: &Who, fleet: bool) -> Result<Balancing, String> {
     let folder = Folder::new().map_err(|problem| format!("cannot make a folder for this run: {problem}"))?;
     let children = Arc::new(Mutex::new(Vec::new()));
-    let mut addresses = Vec::new();
+    let (mut addresses, relayed) = (Vec::new(), Arc::new(Relayed::default()));
+    let mut hear = match fleet {
+        true => {
+            Some(Addresses::new(*world.day.balancers.get_ref()).map_err(|p| format!("no addresses: {p}"))?)
+        }
+        false => None,
+    };
+    let sockets = hear.as_mut().map(|hear| std::mem::take(&mut hear.sockets)).unwrap_or_default();
+    for (from, to, socket) in sockets {
+        let heard_at = hear_at(hear.as_ref(), to)?;
+        relay(world, from, to, socket, heard_at, &relayed)
+            .map_err(|problem| format!("cannot relay between balancers: {problem}"))?;
+    }
     for number in 0..*world.day.balancers.get_ref() {
         let discovery = stand::discovery(world, number)
             .await
@@ -165,7 +191,11 @@
                     .push(address.map_err(|problem| format!("cannot start a stand-in balancer: {problem}"))?);
             }
             Who::Binary(binary) => {
-                let child = Balancer::new(&world.day, world.seed, number, binary, &folder.0, discovery);
+                let operator = hear.as_ref().map(|hear| hear.operator_file(&world.day, number, &folder.0));
+                let operator =
+                    operator.transpose().map_err(|problem| format!("no operator file: {problem}"))?;
+                let child =
+                    Balancer::new(&world.day, world.seed, number, binary, &folder.0, discovery, operator);
                 let mut child =
                     child.map_err(|problem| format!("cannot set up balancer {number}: {problem}"))?;
                 child.start().map_err(|problem| format!("cannot start a balancer: {problem}"))?;
@@ -178,14 +208,36 @@
     for number in 0..count {
         wait_ready(&children, number).await?;
     }
-    Ok(Balancing { children, addresses, _folder: folder })
+    Ok(Balancing { children, addresses, relayed, _folder: folder })
+}
+
+fn hear_at(hear: Option<&Addresses>, to: usize) -> Result<SocketAddr, String> {
+    hear.and_then(|hear| hear.heard_at.get(to)).copied().ok_or_else(|| "no such balancer".to_owned())
 }
 
 /// Kills, stops and starts balancers as the day says.
 async fn balancer_events(
-    load: Arc<Load>, children: Arc<Mutex<Vec<Balancer>>>, mut events: mpsc::UnboundedReceiver<What>,
+    load: Arc<Load>, children: Arc<Mutex<Vec<Balancer>>>, views: Arc<Mutex<Views>>,
+    mut events: mpsc::UnboundedReceiver<What>,
 ) {
     while let Some(what) = events.recv().await {
+        let now = load.world.now();
+        if matches!(what, What::BalancerPauses(_) | What::BalancerGoesOn(_)) {
+            // In the order in which they come: a stop and its end lie close together.
+            let stops = matches!(what, What::BalancerPauses(_));
+            locked(&views).happens(now, what, stall_lasts(&load.world, what));
+            if let What::BalancerPauses(balancer) | What::BalancerGoesOn(balancer) = what
+                && let Some(child) = locked(&children).get(balancer)
+            {
+                child.stop(stops);
+                load.world.note(load.world.now(), Seen::Stalled { balancer });
+            }
+            continue;
+        }
+        if !matches!(what, What::BalancerStarts(_)) {
+            locked(&views).happens(now, what, 0);
+        }
+        let views = Arc::clone(&views);
         let (load, children) = (Arc::clone(&load), Arc::clone(&children));
         tokio::spawn(async move {
             match what {
@@ -208,6 +260,7 @@
                 What::BalancerStarts(balancer) => {
                     let started = match locked(&children).get_mut(balancer) {
                         Some(child) => {
+                            locked(&views).happens(load.world.now(), what, 0);
                             // One that was told to stop and has not is killed first, as an operator would.
                             if child.is_running() && !child.has_died() {
                                 load.world.note(load.world.now(), Seen::Killed { balancer });
@@ -232,14 +285,26 @@
     }
 }
 
+/// How long a balancer that is stopped now stays so.
+fn stall_lasts(world: &World, what: What) -> Micros {
+    let What::BalancerPauses(balancer) = what else { return 0 };
+    let now = world.now();
+    let goes_on = |at: &&(Micros, What)| at.0 > now && at.1 == What::BalancerGoesOn(balancer);
+    world.line().events.iter().find(goes_on).map_or(0, |(at, _)| at - now)
+}
+
 /// Plays a day from start to end and tells what was found.
 pub fn play(day: &Day, seed: u64, who: &Who, wishes: &Wishes) -> Result<Figures, String> {
     let runtime = runtime().map_err(|problem| format!("cannot start threads: {problem}"))?;
     let world = Arc::new(World::new(day.clone(), seed));
     let balancing = runtime.block_on(async {
         start_servers(&world).await?;
-        start_balancers(&world, who).await
+        start_balancers(&world, who, wishes.fleet).await
     })?;
+    let views = Arc::new(Mutex::new(Views::new(&world, balancing.addresses.len())));
+    for (number, address) in balancing.addresses.iter().enumerate().filter(|_| wishes.fleet) {
+        runtime.spawn(watch(Arc::clone(&world), Arc::clone(&views), number, *address));
+    }
     let load = Arc::new(Load::new(Arc::clone(&world), balancing.addresses.clone()));
     let before: u64 = locked(&balancing.children).iter().map(|child| child.used().cpu_us).sum();
     if wishes.by_hand {
@@ -248,9 +313,15 @@
     world.clock.begin();
     let (events, seen) = mpsc::unbounded_channel();
     runtime.spawn(drive(Arc::clone(&world), events));
-    runtime.spawn(balancer_events(Arc::clone(&load), Arc::clone(&balancing.children), seen));
+    let (children, judged) = (Arc::clone(&balancing.children), Arc::clone(&views));
+    runtime.spawn(balancer_events(Arc::clone(&load), children, judged, seen));
     let dropped = carry_load(&load, &balancing, wishes)?;
     std::thread::sleep(RUNS_OUT);
+    let known = wishes.fleet.then(|| Known {
+        relayed: balancing.relayed.passed.load(Ordering::Relaxed),
+        relay_lost: balancing.relayed.lost.load(Ordering::Relaxed),
+        ..locked(&views).found()
+    });
     locked(&world.ledger).finish(world.now());
     let (mut cpu, mut memory, mut deaths) = (0, 0, Vec::new());
     for child in locked(&balancing.children).iter_mut() {
@@ -276,6 +347,7 @@
         lab_memory_mb: used(std::process::id()).memory_kb as f64 / 1024.0,
         dispatches_per_ticket: sends.iter().sum::<u64>() as f64 / asked,
         sends,
+        known,
         cut_short: wishes.over.load(Ordering::Relaxed),
         ..Figures::default()
     };
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -280,7 +280,11 @@
                 vec![server]
             }
             What::Grow(count) => self.newcomers(count, None),
-            What::BalancerKilled(_) | What::BalancerStopped(_) | What::BalancerStarts(_) => Vec::new(),
+            What::BalancerKilled(_)
+            | What::BalancerStopped(_)
+            | What::BalancerStarts(_)
+            | What::BalancerPauses(_)
+            | What::BalancerGoesOn(_) => Vec::new(),
         }
     }
 
--- a/model/src/check.rs
+++ b/model/src/check.rs
@@ -285,7 +285,14 @@
         if let Some(unknown) = unknown {
             self.add(at, "faults.balancers", format!("there is no balancer {unknown}"));
         }
-        if !kind.hits_balancers() && fault.balancers.is_some() {
+        let unknown = fault.against.iter().flatten().find(|other| **other >= *day.balancers.get_ref());
+        if let Some(unknown) = unknown {
+            self.add(at, "faults.against", format!("there is no balancer {unknown}"));
+        }
+        if !kind.hits_ways() && (fault.against.is_some() || fault.one_way) {
+            self.add(at, "faults.against", format!("{kind:?} lies on no way between balancers"));
+        }
+        if !kind.hits_balancers() && !kind.hits_ways() && fault.balancers.is_some() {
             self.add(at, "faults.balancers", format!("{kind:?} hits no balancers"));
         }
     }
--- a/model/src/day.rs
+++ b/model/src/day.rs
@@ -273,6 +273,8 @@
     Slow,
     /// Servers take tickets and answer none; what was in work goes on being worked on.
     Silent,
+    /// Servers do their work, and `factor` of their answers never come.
+    Lost,
     /// Servers fail `factor` of their tickets at once.
     Errors,
     /// Servers spoil `factor` of their answers: cut short, garbled, or the wrong length.
@@ -297,10 +299,25 @@
     DiscoveryStale,
     /// Traffic is `factor` times the usual.
     Burst,
-    /// Balancers are killed, and started again at the end.
+    /// Balancers are killed, and started again at the end, with nothing kept.
+    #[serde(alias = "balancer_restarted")]
     BalancerKilled,
     /// Balancers are told to stop, and started again at the end.
     BalancerStopped,
+    /// Balancers are not run for the span (SIGSTOP), then go on.
+    BalancerStalled,
+    /// Balancers are not run for `factor` of each tenth of a second: slow, not dead.
+    BalancerHurt,
+    /// Nothing passes between the balancers named and those of `against`, or all others.
+    LinkCut,
+    /// `factor` of what balancers tell one another is lost on those ways.
+    LinkLossy,
+    /// It takes up to `by` longer, and overtakes.
+    LinkSlow,
+    /// `factor` of it comes twice.
+    LinkRepeats,
+    /// In `factor` of it a bit is turned.
+    LinkSpoils,
 }
 
 /// One fault in the day's timeline. Which servers: by number, zone, machine type, part of the fleet, or all.
@@ -316,6 +333,11 @@
     pub machine: Option<String>,
     pub part: Option<f64>,
     pub balancers: Option<Vec<usize>>,
+    /// Balancers on the other side of a way; all others where none are named.
+    pub against: Option<Vec<usize>>,
+    /// Only what `balancers` send is hit.
+    #[serde(default)]
+    pub one_way: bool,
     pub factor: Option<f64>,
     pub by: Option<Span>,
     /// Servers are hit one after the other, evenly over this time.
--- a/model/src/faults.rs
+++ b/model/src/faults.rs
@@ -5,6 +5,10 @@
 use crate::chance::Chance;
 use crate::day::{Day, Fault, Kind};
 use crate::server::{Condition, Spec};
+use crate::ways::{Trouble, Ways};
+
+/// How often a hurt balancer is stopped.
+const HURT_EVERY: Micros = 100_000;
 
 /// One server under one fault.
 #[derive(Clone, Debug)]
@@ -36,6 +40,9 @@
     BalancerKilled(usize),
     BalancerStopped(usize),
     BalancerStarts(usize),
+    /// It is not run until it goes on.
+    BalancerPauses(usize),
+    BalancerGoesOn(usize),
 }
 
 /// What discovery is like at a moment.
@@ -52,6 +59,8 @@
     hits: Vec<Hit>,
     /// Faults that hit no server: kind, from, to, factor, by.
     wide: Vec<(Kind, Micros, Micros, f64, Micros)>,
+    /// What lies on the ways between balancers.
+    pub ways: Ways,
     /// In order of time.
     pub events: Vec<(Micros, What)>,
 }
@@ -59,19 +68,24 @@
 impl Kind {
     /// Whether it hits servers that the fault names.
     pub fn hits_servers(self) -> bool {
-        !matches!(
+        !matches!(self, Self::Grow | Self::DiscoveryGone | Self::DiscoveryStale | Self::Burst)
+            && !self.hits_balancers()
+            && !self.hits_ways()
+    }
+
+    /// Whether it lies on the ways between balancers.
+    pub fn hits_ways(self) -> bool {
+        matches!(
             self,
-            Self::Grow
-                | Self::DiscoveryGone
-                | Self::DiscoveryStale
-                | Self::Burst
-                | Self::BalancerKilled
-                | Self::BalancerStopped
+            Self::LinkCut | Self::LinkLossy | Self::LinkSlow | Self::LinkRepeats | Self::LinkSpoils
         )
     }
 
     pub fn hits_balancers(self) -> bool {
-        matches!(self, Self::BalancerKilled | Self::BalancerStopped)
+        matches!(
+            self,
+            Self::BalancerKilled | Self::BalancerStopped | Self::BalancerStalled | Self::BalancerHurt
+        )
     }
 
     /// Whether the server is away from the list or dead meanwhile.
@@ -84,7 +98,9 @@
         match self {
             Self::Neighbour => Some((0.5, 0.0, 0.99)),
             Self::Slow => Some((3.0, 1.0, 1000.0)),
-            Self::Errors | Self::Spoilt | Self::Reset => Some((1.0, 0.0, 1.0)),
+            Self::Errors | Self::Spoilt | Self::Reset | Self::Lost => Some((1.0, 0.0, 1.0)),
+            Self::LinkLossy | Self::LinkRepeats | Self::LinkSpoils => Some((0.3, 0.0, 1.0)),
+            Self::BalancerHurt => Some((0.5, 0.0, 0.9)),
             Self::Burst => Some((2.0, 0.0, 100.0)),
             Self::Grow => Some((1.0, 0.0, 100.0)),
             _ => None,
@@ -92,7 +108,7 @@
     }
 
     pub fn takes_by(self) -> bool {
-        matches!(self, Self::ReportsLate | Self::DiscoveryStale)
+        matches!(self, Self::ReportsLate | Self::DiscoveryStale | Self::LinkSlow)
     }
 }
 
@@ -118,7 +134,7 @@
 
 impl Timeline {
     pub fn new(day: &Day, specs: &[Spec], seed: u64) -> Self {
-        let mut line = Self { hits: Vec::new(), wide: Vec::new(), events: Vec::new() };
+        let mut line = Self { hits: Vec::new(), wide: Vec::new(), ways: Ways::default(), events: Vec::new() };
         for (place, fault) in day.faults.iter().enumerate() {
             line.add(day, specs, seed, place, fault.get_ref());
         }
@@ -144,13 +160,31 @@
             let each = fault.over.0 / named.len().max(1) as u64;
             for (turn, balancer) in named.into_iter().enumerate() {
                 let from = from + turn as u64 * each;
-                let goes = match fault.kind {
-                    Kind::BalancerStopped => What::BalancerStopped(balancer),
-                    _ => What::BalancerKilled(balancer),
+                let to = from + lasts;
+                let (goes, comes) = match fault.kind {
+                    Kind::BalancerStopped => {
+                        (What::BalancerStopped(balancer), What::BalancerStarts(balancer))
+                    }
+                    Kind::BalancerStalled | Kind::BalancerHurt => {
+                        (What::BalancerPauses(balancer), What::BalancerGoesOn(balancer))
+                    }
+                    _ => (What::BalancerKilled(balancer), What::BalancerStarts(balancer)),
+                };
+                let hurt = fault.kind == Kind::BalancerHurt;
+                let (every, stopped) = match hurt {
+                    true => (HURT_EVERY, (HURT_EVERY as f64 * factor) as Micros),
+                    false => (lasts.max(1), lasts),
                 };
-                self.events.push((from, goes));
-                self.events.push((from + lasts, What::BalancerStarts(balancer)));
+                for at in (from..to).step_by(every as usize) {
+                    self.events.push((at, goes));
+                    self.events.push(((at + stopped).min(to), comes));
+                }
             }
+        } else if fault.kind.hits_ways() {
+            let side = fault.balancers.clone().unwrap_or_else(|| vec![0]);
+            let (kind, to, against, one_way) =
+                (fault.kind, from + lasts, fault.against.clone(), fault.one_way);
+            self.ways.troubles.push(Trouble { kind, from, to, side, against, one_way, factor, by });
         } else if fault.kind == Kind::Grow {
             let count = (factor * specs.len() as f64).ceil() as usize;
             self.events.push((from, What::Grow(count)));
@@ -188,6 +222,7 @@
                 Kind::Silent => condition.silent = true,
                 Kind::Neighbour => condition.rate *= 1.0 - hit.factor,
                 Kind::Slow => condition.rate /= hit.factor,
+                Kind::Lost => condition.lost = condition.lost.max(hit.factor),
                 Kind::Errors => condition.errors = condition.errors.max(hit.factor),
                 Kind::Spoilt => condition.spoilt = condition.spoilt.max(hit.factor),
                 Kind::Reset => condition.reset = condition.reset.max(hit.factor),
--- a/model/src/judge.rs
+++ b/model/src/judge.rs
@@ -59,6 +59,8 @@
     Told { balancer: usize, server: usize, drains: bool },
     /// A balancer was killed: what it had is nobody's fault.
     Killed { balancer: usize },
+    /// It is stopped, or goes on: what it had taken can't be answered in time by anybody.
+    Stalled { balancer: usize },
     /// A server fell over while cold.
     Fell { server: usize },
 }
@@ -102,6 +104,7 @@
                 )
             }
             Self::Killed { balancer } => write!(out, "balancer {balancer} killed"),
+            Self::Stalled { balancer } => write!(out, "balancer {balancer} stopped or going on"),
             Self::Fell { server } => write!(out, "s{server} fell over"),
         }
     }
@@ -220,14 +223,16 @@
                     false => _ = kept.drains.remove(&balancer),
                 }
             }
-            Seen::Killed { balancer } => {
+            Seen::Killed { balancer } | Seen::Stalled { balancer } => {
                 self.killed.insert(balancer, at);
                 for history in self.tickets.values_mut() {
                     history.excused |=
                         history.answered.is_none() && history.taken.is_some_and(|t| t.0 == balancer);
                 }
-                // Its next life is told anew.
-                self.servers.values_mut().for_each(|kept| _ = kept.drains.remove(&balancer));
+                if matches!(seen, Seen::Killed { .. }) {
+                    // Its next life is told anew.
+                    self.servers.values_mut().for_each(|kept| _ = kept.drains.remove(&balancer));
+                }
             }
             Seen::Fell { server } => self.break_of(4, at, None, format!("s{server} fell over while cold")),
             Seen::NotRun { .. } | Seen::Ran { .. } => {}
@@ -250,9 +255,8 @@
     }
 
     fn in_time(&mut self, ticket: u64, at: Micros) {
-        let Some((_, _, hard_stop)) = self.tickets.get(&ticket).and_then(|history| history.taken) else {
-            return;
-        };
+        let owed = self.tickets.get(&ticket).filter(|history| !history.excused);
+        let Some((_, _, hard_stop)) = owed.and_then(|history| history.taken) else { return };
         if at > hard_stop + self.rules.slack.0 {
             self.break_of(1, at, Some(ticket), format!("answered {} us after its hard stop", at - hard_stop));
         }
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod server;
 pub mod service;
 pub mod traffic;
+pub mod ways;
 
 /// A moment since the day began, or a span, in whole microseconds.
 pub type Micros = u64;
--- /dev/null
+++ b/node/src/fleet/carrier.rs
@@ -0,0 +1,155 @@
+//! The accord on a UDP socket of the loop.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction};
+use pinefront_accord::envelope::DATAGRAM_MOST;
+use pinefront_accord::membership::table::Event;
+use pinefront_accord::{Accord, Micros};
+use rustix::time::{ClockId, clock_gettime};
+use slog::{Logger, info, warn};
+
+use crate::fleet::operator::FleetTerms;
+
+#[cfg(test)]
+mod tests;
+
+/// Datagrams taken in one turn: tickets wait no longer than these take, whoever floods the socket.
+const A_TURN: usize = 128;
+
+/// Time that goes on while the process is stopped and while the machine sleeps, and never steps.
+pub fn now() -> Micros {
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as Micros * 1_000_000 + now.tv_nsec as Micros / 1_000
+}
+
+/// This balancer's part in its fleet.
+pub struct Fleet {
+    pub accord: Accord,
+    pub terms: FleetTerms,
+    socket: Rc<UdpSocket>,
+    log: Logger,
+    /// Datagrams that the socket did not take.
+    pub unsent: u64,
+}
+
+impl Fleet {
+    /// Binds the socket, for the whole life of the process: another process at its address shows that this one ended.
+    pub fn open<D: 'static>(
+        handle: &LoopHandle<'static, D>, mut terms: FleetTerms, seed: u64, log: &Logger,
+    ) -> Result<Rc<RefCell<Self>>, String> {
+        let bound = UdpSocket::bind(terms.listen).and_then(|socket| {
+            socket.set_nonblocking(true)?;
+            Ok(Rc::new(socket))
+        });
+        let socket =
+            bound.map_err(|problem| format!("cannot hear the fleet at {}: {problem}", terms.listen))?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        terms.part.born = born.as_micros() as u64;
+        // Processes of one file would else draw alike, and a restarted one as before.
+        let seed = seed ^ terms.part.born ^ u64::from(std::process::id()).rotate_left(32);
+        let accord = Accord::new(terms.part.clone(), terms.key.clone(), seed, now());
+        info!(log, "in the fleet"; "fleet" => &terms.part.fleet, "member" => &terms.part.name,
+            "address" => %terms.part.address, "seeds" => terms.part.seeds.len());
+        let fleet = Rc::new(RefCell::new(Self { accord, terms, socket, log: log.clone(), unsent: 0 }));
+        let source = Generic::new(Rc::clone(&fleet.borrow().socket), Interest::READ, Mode::Level);
+        let carried = Rc::clone(&fleet);
+        let token = handle.insert_source(source, move |_, _, _| {
+            carried.borrow_mut().came();
+            Ok(PostAction::Continue)
+        });
+        token.map_err(|problem| format!("cannot watch the fleet's socket: {problem}"))?;
+        Ok(fleet)
+    }
+
+    /// Takes what came.
+    fn came(&mut self) {
+        let mut bytes = [0; DATAGRAM_MOST + 1];
+        for _ in 0..A_TURN {
+            match self.socket.recv_from(&mut bytes) {
+                Ok((length, _)) => self.accord.heard(now(), &bytes[..length]),
+                Err(problem) if problem.kind() == io::ErrorKind::WouldBlock => break,
+                // A report of an earlier send that nobody took; the next one may be a datagram.
+                Err(_) => {}
+            }
+        }
+        self.carry();
+    }
+
+    /// How long the loop may wait for it.
+    pub fn wait(&self) -> Micros {
+        self.accord.next_due().saturating_sub(now())
+    }
+
+    /// Does what is due.
+    pub fn turn(&mut self) {
+        let now = now();
+        if self.accord.next_due() <= now {
+            self.accord.due(now);
+            self.carry();
+        }
+    }
+
+    /// This process serves no more.
+    pub fn leave(&mut self) {
+        self.accord.leave(now());
+        self.carry();
+    }
+
+    /// Takes a file read anew; what can't change while serving is named, and waits for the next start.
+    pub fn renew(&mut self, new: FleetTerms) -> Vec<&'static str> {
+        let old = &self.terms;
+        let otherwise = [
+            ("fleet.listen", old.listen != new.listen),
+            ("fleet.advertise", old.part.address != new.part.address),
+            ("fleet.name", old.part.fleet != new.part.fleet),
+            ("fleet.member", old.part.name != new.part.name),
+            ("fleet.zone", old.part.zone != new.part.zone),
+        ];
+        self.accord.renew(&new.part, new.key.clone());
+        self.terms.via = new.via;
+        otherwise.into_iter().filter(|field| field.1).map(|field| field.0).collect()
+    }
+
+    fn carry(&mut self) {
+        for (to, bytes) in self.accord.take_datagrams() {
+            let to = self.terms.via.get(&to).copied().unwrap_or(to);
+            // A full socket loses one as well as the network does.
+            if self.socket.send_to(&bytes, to).is_err() {
+                self.unsent += 1;
+            }
+        }
+        for event in self.accord.take_events() {
+            self.tell(&event);
+        }
+    }
+
+    fn tell(&self, event: &Event) {
+        let log = &self.log;
+        let counts = (self.accord.table.present().count() + 1, self.accord.table.may_be_serving() + 1);
+        let member = |word: &'static str, name: &Rc<str>| {
+            info!(log, "{}", word; "member" => &**name, "present" => counts.0, "may_serve" => counts.1);
+        };
+        match event {
+            Event::Joined(name) => member("member joined", name),
+            Event::Doubted(name) => member("member doubted", name),
+            Event::Returned(name) => member("member returned", name),
+            Event::Gone(name) => member("member gone, may still serve", name),
+            Event::Left(name) => member("member left", name),
+            Event::Refuted => info!(log, "others doubted us, and were told otherwise"),
+            Event::Slept(lasted) => {
+                warn!(log, "was not run, doubts nobody until heard"; "ms" => lasted / 1_000)
+            }
+            Event::HeardAgain => info!(log, "heard again"),
+            Event::NameTaken => {
+                warn!(log, "another process bears our name"; "member" => &self.terms.part.name);
+            }
+            Event::TableFull => warn!(log, "no room for a further member"),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/fleet/operator.rs
@@ -0,0 +1,179 @@
+//! The operator file: what an installation switches on beside the balancer's own configuration. TOML, a table for each
+//! subsystem; unknown fields are refused, and each problem names file, line and field.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::Range;
+
+use pinefront_accord::envelope::Key;
+use pinefront_accord::frames::NAME_MOST;
+use pinefront_accord::{Micros, Part};
+use serde::Deserialize;
+use toml::Spanned;
+
+#[cfg(test)]
+mod tests;
+
+/// Seeds at most: a file that names more is a slip of the pen.
+const SEEDS_MOST: usize = 64;
+/// Shortest and longest spans that make sense between processes.
+const SPANS: (Micros, Micros) = (5_000, 60_000_000);
+
+/// The whole file.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    fleet: Spanned<FleetTable>,
+}
+
+/// `[fleet]`: which fleet, and how its members reach one another.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetTable {
+    name: Spanned<String>,
+    key_file: Spanned<String>,
+    listen: Spanned<String>,
+    advertise: Option<Spanned<String>>,
+    #[serde(default)]
+    seeds: Vec<Spanned<String>>,
+    member: Option<Spanned<String>>,
+    zone: Option<Spanned<String>>,
+    probe_every: Option<Spanned<String>>,
+    answer_within: Option<Spanned<String>>,
+    doubt_least: Option<Spanned<String>>,
+    #[serde(default)]
+    via: BTreeMap<Spanned<String>, Spanned<String>>,
+}
+
+/// What the operator file says of the fleet.
+pub struct FleetTerms {
+    pub listen: SocketAddr,
+    pub part: Part,
+    pub key: Key,
+    /// For members reached at another address than the one they tell: where to send instead.
+    pub via: BTreeMap<SocketAddr, SocketAddr>,
+}
+
+struct Reader<'a> {
+    file: &'a str,
+    text: &'a str,
+}
+
+impl Reader<'_> {
+    fn wrong<T>(&self, at: Range<usize>, field: &str, reason: impl std::fmt::Display) -> Result<T, String> {
+        let line = self.text.bytes().take(at.start).filter(|byte| *byte == b'\n').count() + 1;
+        Err(format!("{}:{line}: {field}: {reason}", self.file))
+    }
+
+    fn address(&self, value: &Spanned<String>, field: &str) -> Result<SocketAddr, String> {
+        match value.get_ref().parse::<SocketAddr>() {
+            Ok(address) if address.is_ipv4() => Ok(address),
+            _ => {
+                self.wrong(value.span(), field, format!("'{}' is no IPv4 address and port", value.get_ref()))
+            }
+        }
+    }
+
+    /// An address that others send to.
+    fn reachable(&self, value: &Spanned<String>, field: &str) -> Result<SocketAddr, String> {
+        let address = self.address(value, field)?;
+        match address.ip().is_unspecified() || address.port() == 0 {
+            true => self.wrong(value.span(), field, format!("nobody can send to {address}")),
+            false => Ok(address),
+        }
+    }
+
+    fn word(&self, value: &Spanned<String>, field: &str) -> Result<String, String> {
+        let text = value.get_ref();
+        let fits = !text.is_empty()
+            && text.len() <= NAME_MOST
+            && text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'"');
+        match fits {
+            true => Ok(text.clone()),
+            false => self.wrong(
+                value.span(),
+                field,
+                format!("'{}' is no name of 1 to {NAME_MOST} letters, digits and signs", text.escape_debug()),
+            ),
+        }
+    }
+
+    fn span(&self, value: &Option<Spanned<String>>, field: &str, usual: Micros) -> Result<Micros, String> {
+        let Some(value) = value else { return Ok(usual) };
+        let span = humantime::parse_duration(value.get_ref()).ok();
+        let span = span.and_then(|span| Micros::try_from(span.as_micros()).ok());
+        match span.filter(|span| (SPANS.0..=SPANS.1).contains(span)) {
+            Some(span) => Ok(span),
+            None => {
+                self.wrong(value.span(), field, format!("'{}' is no span from 5ms to 60s", value.get_ref()))
+            }
+        }
+    }
+
+    fn terms(&self, name: &str, zone: &str) -> Result<FleetTerms, String> {
+        let file: File = match toml::from_str(self.text) {
+            Ok(file) => file,
+            Err(problem) => {
+                let at = problem.span().unwrap_or(0..0);
+                let line = self.text[..at.start.min(self.text.len())].rfind('\n').map_or(0, |end| end + 1);
+                let line = self.text[line..].lines().next().unwrap_or("");
+                let field = line.split('=').next().unwrap_or("").trim().to_owned();
+                return self.wrong(at, &field, problem.message().replace('\n', " "));
+            }
+        };
+        let table = file.fleet.get_ref();
+        let listen = self.address(&table.listen, "fleet.listen")?;
+        let address = match &table.advertise {
+            Some(advertise) => self.reachable(advertise, "fleet.advertise")?,
+            None if listen.ip().is_unspecified() || listen.port() == 0 => {
+                let reason = "names no address that others can send to: give fleet.advertise";
+                return self.wrong(table.listen.span(), "fleet.listen", reason);
+            }
+            None => listen,
+        };
+        if table.seeds.len() > SEEDS_MOST {
+            let reason = format!("names {} of {SEEDS_MOST} at most", table.seeds.len());
+            return self.wrong(table.seeds[SEEDS_MOST].span(), "fleet.seeds", reason);
+        }
+        let seeds: Result<_, _> =
+            table.seeds.iter().map(|seed| self.reachable(seed, "fleet.seeds")).collect();
+        let mut via = BTreeMap::new();
+        for (told, used) in &table.via {
+            via.insert(self.address(told, "fleet.via")?, self.reachable(used, "fleet.via")?);
+        }
+        let named = |value: &Option<Spanned<String>>, field: &str, usual: &str| match value {
+            Some(value) => self.word(value, field),
+            None => self.word(&Spanned::new(table.name.span(), usual.to_owned()), field),
+        };
+        let part = Part {
+            fleet: self.word(&table.name, "fleet.name")?,
+            name: named(&table.member, "fleet.member", name)?,
+            zone: named(&table.zone, "fleet.zone", zone)?,
+            address,
+            seeds: seeds?,
+            born: 0,
+            probe_every: self.span(&table.probe_every, "fleet.probe_every", Part::PROBE_EVERY)?,
+            answer_within: self.span(&table.answer_within, "fleet.answer_within", Part::ANSWER_WITHIN)?,
+            doubt_least: self.span(&table.doubt_least, "fleet.doubt_least", Part::DOUBT_LEAST)?,
+        };
+        if part.answer_within * 2 > part.probe_every {
+            let at = table.answer_within.as_ref().or(table.probe_every.as_ref());
+            let at = at.map_or(table.name.span(), Spanned::span);
+            let reason = "must be at most half of fleet.probe_every: there are two tries in it";
+            return self.wrong(at, "fleet.answer_within", reason);
+        }
+        let path = table.key_file.get_ref();
+        let key = std::fs::read(path).map_err(|problem| problem.to_string());
+        let key = key.and_then(|bytes| Key::new(&bytes).map_err(|problem| problem.to_string()));
+        match key {
+            Ok(key) => Ok(FleetTerms { listen, part, key, via }),
+            Err(problem) => self.wrong(table.key_file.span(), "fleet.key_file", format!("{path}: {problem}")),
+        }
+    }
+}
+
+/// Reads the operator file. `name` and `zone` stand where it names none.
+pub fn read(path: &str, name: &str, zone: &str) -> Result<FleetTerms, String> {
+    let text = std::fs::read_to_string(path).map_err(|problem| format!("cannot read {path}: {problem}"))?;
+    Reader { file: path, text: &text }.terms(name, zone)
+}
--- /dev/null
+++ b/node/src/fleet/operator/tests.rs
@@ -0,0 +1,69 @@
+use rstest::rstest;
+
+use super::*;
+
+/// A key file of the test's own, gone with it.
+struct KeyFile(std::path::PathBuf);
+
+impl KeyFile {
+    fn new(test: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("pinefront-key-{}-{test}", std::process::id()));
+        std::fs::write(&path, "0123456789abcdef\n").unwrap();
+        Self(path)
+    }
+
+    fn text(&self, more: &str) -> String {
+        format!("[fleet]\nname = 'f'\nkey_file = '{}'\n{more}", self.0.display())
+    }
+}
+
+impl Drop for KeyFile {
+    fn drop(&mut self) {
+        std::fs::remove_file(&self.0).unwrap();
+    }
+}
+
+fn terms(text: &str) -> Result<FleetTerms, String> {
+    Reader { file: "o.toml", text }.terms("b1", "a")
+}
+
+#[test]
+fn what_is_left_out_comes_from_the_configuration() {
+    let key = KeyFile::new("usual");
+    let terms = terms(&key.text("listen = '127.0.0.1:7400'\nseeds = ['127.0.0.1:7401']")).unwrap();
+    let part = &terms.part;
+    assert_eq!((part.name.as_str(), part.zone.as_str(), part.address), ("b1", "a", terms.listen));
+    assert_eq!((part.probe_every, part.seeds.len()), (Part::PROBE_EVERY, 1));
+}
+
+#[rstest]
+#[case::unknown_field("listen = '127.0.0.1:1'\nspeed = 3", "o.toml:5: speed: unknown field")]
+#[case::no_address("listen = 'here'", "o.toml:4: fleet.listen: 'here' is no IPv4 address")]
+#[case::nobody_can_send("listen = '0.0.0.0:7400'", "o.toml:4: fleet.listen: names no address")]
+#[case::odd_advertise(
+    "listen = '0.0.0.0:7400'\nadvertise = '0.0.0.0:1'",
+    "o.toml:5: fleet.advertise: nobody can"
+)]
+#[case::odd_seed(
+    "listen = '127.0.0.1:1'\nseeds = ['127.0.0.1:2', '127.0.0.1:0']",
+    "o.toml:5: fleet.seeds: nobody"
+)]
+#[case::span("listen = '127.0.0.1:1'\nprobe_every = '2'", "o.toml:5: fleet.probe_every: '2' is no span")]
+#[case::spans(
+    "listen = '127.0.0.1:1'\nanswer_within = '300ms'",
+    "o.toml:5: fleet.answer_within: must be at most half"
+)]
+#[case::member("listen = '127.0.0.1:1'\nmember = 'a b'", "o.toml:5: fleet.member: 'a b' is no name")]
+#[case::mistyped("listen = 5", "o.toml:4: listen: invalid type")]
+#[case::missing("", "o.toml:1: [fleet]: missing field `listen`")]
+fn what_is_wrong_is_named_with_its_line(#[case] more: &str, #[case] problem: &str) {
+    let key = KeyFile::new(&format!("{:x}", more.len() * 1_000 + problem.len()));
+    let told = terms(&key.text(more)).err().unwrap();
+    assert!(told.starts_with(problem), "{told}");
+}
+
+#[test]
+fn a_key_that_is_not_there_or_too_short_is_named() {
+    let text = "[fleet]\nname = 'f'\nkey_file = '/nowhere/key'\nlisten = '127.0.0.1:1'";
+    assert!(terms(text).err().unwrap().starts_with("o.toml:3: fleet.key_file: /nowhere/key: "));
+}
--- a/node/src/life/reread.rs
+++ b/node/src/life/reread.rs
@@ -6,12 +6,29 @@
 
 use crate::life::place::{Variables, read};
 use crate::life::serve::Node;
+use crate::life::start::fleet_terms;
 use crate::wire::peers::Ear;
 
 #[cfg(test)]
 mod tests;
 
 impl Node {
+    /// Reads the operator file anew, where there is one. What can't be read changes nothing.
+    pub fn reread_operator(&mut self, path: Option<&str>) {
+        let desk = self.desk.borrow();
+        let Some((path, fleet)) = path.zip(desk.fleet.as_ref()) else { return };
+        match fleet_terms(path, &desk.place, self.balancer.terms()) {
+            Ok(terms) => {
+                let kept = fleet.borrow_mut().renew(terms);
+                info!(desk.log, "operator file read anew"; "file" => path);
+                if !kept.is_empty() {
+                    warn!(desk.log, "waits for the next start"; "fields" => kept.join(","));
+                }
+            }
+            Err(problem) => warn!(desk.log, "new operator file not taken"; "problem" => problem),
+        }
+    }
+
     /// Reads the file anew. What can't be read changes nothing.
     pub fn reread(&mut self, path: Option<&str>, variables: &Variables) {
         let mut variables = variables.clone();
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -68,6 +68,7 @@
             let mut desk = node.desk.borrow_mut();
             let now = desk.now();
             let wait = desk.deadlines.next().map_or(TURN_MOST, |at| at.saturating_sub(now)).min(TURN_MOST);
+            let wait = desk.fleet.as_ref().map_or(wait, |fleet| fleet.borrow().wait().min(wait));
             desk.turn.begin(now, now + wait);
             wait
         };
@@ -82,6 +83,7 @@
         let began = node.desk.borrow().now();
         node.deadlines();
         let mut desk = node.desk.borrow_mut();
+        desk.fleet.iter().for_each(|fleet| fleet.borrow_mut().turn());
         let took = desk.now().saturating_sub(began);
         desk.counters.longest_turn_us = desk.counters.longest_turn_us.max(took);
         let (dropped, room) = pipe.flush();
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -17,6 +17,8 @@
 use slotmap::SlotMap;
 use socket2::{Domain, Protocol, Socket, Type};
 
+use crate::fleet::carrier::Fleet;
+use crate::fleet::operator::{self, FleetTerms};
 use crate::life::log::Pipe;
 use crate::life::place::{Place, read, variables};
 use crate::life::serve::{Hands, Node, serve};
@@ -92,6 +94,7 @@
         by_name: HashMap::new(),
         roster: Roster::new(seed, now),
         ear,
+        fleet: None,
         deadlines: Deadlines::default(),
         counters: Counters::default(),
         stopping: None,
@@ -117,25 +120,42 @@
     Ok(node)
 }
 
+/// What the operator file says of the fleet. Where it names no member or zone, they are those of the configuration.
+pub fn fleet_terms(file: &str, place: &Place, terms: &Terms) -> Decoded<FleetTerms> {
+    let zone = place.zones.get(terms.zone as usize).map_or("", String::as_str);
+    operator::read(file, &place.name, zone)
+}
+
 /// Runs the balancer until it is told to stop.
-pub fn run(path: Option<&str>) -> Decoded<()> {
+pub fn run(path: Option<&str>, operator: Option<&str>) -> Decoded<()> {
     let (told, place, terms) = read(path, &variables())?;
+    let fleet_terms = operator.map(|file| fleet_terms(file, &place, &terms)).transpose()?;
     let mut event_loop: EventLoop<Node> =
         EventLoop::try_new().map_err(|problem| format!("cannot make the event loop: {problem}"))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])
         .map_err(|problem| format!("cannot watch signals: {problem}"))?;
     let handle = event_loop.handle();
-    let file = path.map(str::to_owned);
+    let (file, operator) = (path.map(str::to_owned), operator.map(str::to_owned));
     handle
         .insert_source(signals, move |event, &mut (), node: &mut Node| match event.signal() {
-            Signal::SIGHUP => node.reread(file.as_deref(), &variables()),
+            Signal::SIGHUP => {
+                node.reread(file.as_deref(), &variables());
+                node.reread_operator(operator.as_deref());
+            }
             signal => node.signalled(signal),
         })
         .map_err(|problem| format!("cannot watch signals: {problem}"))?;
     let pipe = Pipe::default();
-    let mut node = open(handle, &pipe, &told, place, terms)?;
+    let mut node = open(handle.clone(), &pipe, &told, place, terms)?;
+    if let Some(terms) = fleet_terms {
+        let log = node.desk.borrow().log.clone();
+        let seed = node.desk.borrow().place.seed;
+        node.desk.borrow_mut().fleet = Some(Fleet::open(&handle, terms, seed, &log)?);
+    }
     let served = serve(&mut event_loop, &mut node, &pipe);
     node.desk.borrow_mut().end_all();
+    // Nothing is sent to upstreams from here on: only now may others count us out.
+    node.desk.borrow().fleet.iter().for_each(|fleet| fleet.borrow_mut().leave());
     node.desk.borrow().tell_counters();
     pipe.flush();
     served
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,5 +1,6 @@
 //! `pinefront`: the balancer's command line.
 
+mod fleet;
 mod life;
 mod memory;
 #[cfg(test)]
@@ -13,25 +14,34 @@
 const HELP: &str = "\
 pinefront: a load-balancing proxy for fleets of HTTP servers
 
-  pinefront serve [--config FILE]   serves until SIGTERM or SIGINT
-  pinefront check [--config FILE]   says whether a balancer could start with that file
-  pinefront version                 prints the version
-  pinefront help                    prints this
+  pinefront serve [--config FILE] [--operator FILE]   serves until SIGTERM or SIGINT
+  pinefront check [--config FILE] [--operator FILE]   says whether it could start with these
+  pinefront fleet --at ADDRESS [--watch] [--json]     what a balancer knows of the others
+  pinefront version                                   prints the version
+  pinefront help                                      prints this
 
 FILE is what BALANCER_CONFIG names where it is not given. BALANCER_NAME, BALANCER_LISTEN and
 BALANCER_DISCOVERY go before what the file says. SIGUSR1 writes the counters to the log; GET /stats
-answers with them.
+answers with them. The operator file (TOML) switches on what an installation wants beside: see
+deploy/operator.toml.
 ";
 
+fn text(parser: &mut Parser) -> Result<String, String> {
+    let value = parser.value().map_err(|problem| problem.to_string())?;
+    value.into_string().map_err(|_| "a value is no text".into())
+}
+
 fn command() -> Result<(), String> {
     let mut parser = Parser::from_env();
-    let (mut command, mut file) = (None, None);
+    let (mut command, mut file, mut operator, mut at) = (None, None, None, None);
+    let (mut watch, mut json) = (false, false);
     while let Some(arg) = parser.next().map_err(|problem| problem.to_string())? {
         match arg {
-            Arg::Long("config") => {
-                let value = parser.value().map_err(|problem| problem.to_string())?;
-                file = Some(value.into_string().map_err(|_| "the file's name is no text")?);
-            }
+            Arg::Long("config") => file = Some(text(&mut parser)?),
+            Arg::Long("operator") => operator = Some(text(&mut parser)?),
+            Arg::Long("at") => at = Some(text(&mut parser)?),
+            Arg::Long("watch") => watch = true,
+            Arg::Long("json") => json = true,
             Arg::Long("version") | Arg::Short('V') => command = Some("version".into()),
             Arg::Long("help") | Arg::Short('h') => command = Some("help".into()),
             Arg::Value(value) if command.is_none() => {
@@ -41,9 +51,16 @@
         }
     }
     match command.as_deref() {
-        Some("serve") => life::start::run(file.as_deref()),
+        Some("serve") => life::start::run(file.as_deref(), operator.as_deref()),
+        Some("fleet") => {
+            let at = at.ok_or("no balancer named: give --at ADDRESS, where clients reach it")?;
+            fleet::show::show(&at, watch, json)
+        }
         Some("check") => {
-            life::place::read(file.as_deref(), &life::place::variables())?;
+            let (_, place, terms) = life::place::read(file.as_deref(), &life::place::variables())?;
+            if let Some(operator) = &operator {
+                life::start::fleet_terms(operator, &place, &terms)?;
+            }
             println!("well-formed");
             Ok(())
         }
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -1,5 +1,6 @@
 //! All that the program keeps while it serves: the tables, and what every part of it reaches for.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -12,6 +13,7 @@
 use slog::Logger;
 use slotmap::{Key, SlotMap};
 
+use crate::fleet::carrier::Fleet;
 use crate::life::place::Place;
 use crate::life::serve::Node;
 use crate::memory::buffers::{Inbox, Outbox};
@@ -146,6 +148,8 @@
     pub roster: Roster,
     /// Where the other balancers are heard, if the settings let them speak.
     pub ear: Option<Ear>,
+    /// This balancer's part in its fleet, where an operator file names one.
+    pub fleet: Option<Rc<RefCell<Fleet>>>,
     pub deadlines: Deadlines,
     pub counters: Counters,
     /// When it was told to stop: not ready from then on, and connections close between tickets.
