Reading again: one copy of what the accord's rigs and tables had written twice

Seen in the whole change: spoiling a datagram stood in relay and virtual clock alike (now Carried::spoil); own verdicts had a way into the table beside the one that records of others take (Table::set out, learn serves both); planted faults were kept twice; names were checked twice (frames::is_name); the virtual clock's queue was a heap over slots with a free list (now one ordered map); scenarios added a trouble and then widened it; Kind::name was clap's own; drops were turned into text by hand; five kinds of what happens to a balancer were listed in two places (What::balancer); silence was reckoned for each upstream of a pool, now once a pool.

--- a/accord/src/frames.rs
+++ b/accord/src/frames.rs
@@ -38,12 +38,15 @@
     pub version: u8,
 }
 
+/// Whether a text may be a name: short, and of signs that can be seen.
+pub fn is_name(text: &str) -> bool {
+    !text.is_empty() && text.len() <= NAME_MOST && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 impl Record {
-    /// Whether its names are as long as names may be.
+    /// Whether its names are names; a zone may be left out.
     pub fn is_sound(&self) -> bool {
-        let fits = |text: &str| !text.is_empty() && text.len() <= NAME_MOST;
-        let plain = |text: &str| text.bytes().all(|byte| byte.is_ascii_graphic());
-        fits(&self.name) && plain(&self.name) && self.zone.len() <= NAME_MOST && plain(&self.zone)
+        is_name(&self.name) && (self.zone.is_empty() || is_name(&self.zone))
     }
 
     /// Whether it goes before another of the same name. Of two processes at one incarnation the one with the greater
--- a/accord/src/lib.rs
+++ b/accord/src/lib.rs
@@ -140,8 +140,6 @@
     /// When names were last told that they came back with too small an incarnation.
     old_told: BTreeMap<String, Micros>,
     quiet_until: Micros,
-    #[cfg(feature = "planted")]
-    planted: Option<Planted>,
 }
 
 impl Accord {
@@ -168,8 +166,6 @@
             cursor: 0,
             old_told: BTreeMap::new(),
             quiet_until: 0,
-            #[cfg(feature = "planted")]
-            planted: None,
         };
         for (span, due) in [
             (accord.part.probe_every, Due::Round),
@@ -188,18 +184,10 @@
     /// Plants a fault, to show that a check finds it.
     #[cfg(feature = "planted")]
     pub fn plant(&mut self, fault: Planted) {
-        self.planted = Some(fault);
         self.table.planted = Some(fault);
         self.counters.takes_replays = fault == Planted::TakesReplays;
     }
 
-    fn planted(&self, _fault: Planted) -> bool {
-        #[cfg(feature = "planted")]
-        return self.planted == Some(_fault);
-        #[cfg(not(feature = "planted"))]
-        false
-    }
-
     pub fn life(&self) -> Life {
         self.life
     }
@@ -250,7 +238,7 @@
     /// The process was not run for so long: whoever carries this may know it from elsewhere too.
     pub fn paused(&mut self, now: Micros, lasted: Micros) {
         self.now = self.now.max(now);
-        if self.planted(Planted::SleepUnnoticed) {
+        if self.table.planted(Planted::SleepUnnoticed) {
             return;
         }
         self.slept += 1;
@@ -277,7 +265,7 @@
             return;
         }
         self.table.own.state = State::Left;
-        if self.planted(Planted::LeavesUntold) {
+        if self.table.planted(Planted::LeavesUntold) {
             return;
         }
         for place in self.some(LEAVE_TO, |member| member.record.state != State::Left) {
@@ -528,7 +516,7 @@
         let (number, target) = (probe.number, Rc::clone(&probe.target));
         let Some(place) = self.table.place(&target) else { return };
         let address = self.table.members[place].record.address;
-        if self.planted(Planted::DoubtsWithoutAsking) {
+        if self.table.planted(Planted::DoubtsWithoutAsking) {
             return;
         }
         self.say(place, Frame::Probe { number, target: Some(Rc::clone(&target)) });
@@ -550,21 +538,17 @@
         if probe.told < probe.asked {
             self.probing.worse();
         }
-        let Some(place) = self.table.place(&probe.target) else { return };
-        let record = &self.table.members[place].record;
-        if self.deaf_until.is_some() || record.life != probe.life || record.state != State::Present {
-            let confirms = self.deaf_until.is_none() && record.state == State::Doubted;
-            if confirms && record.life == probe.life {
-                let record = Record { by: self.life.chance, ..record.clone() };
-                self.learn(&record);
-            }
+        let Some(held) = self.table.named(&probe.target).map(|member| &member.record) else { return };
+        if self.deaf_until.is_some() || held.life != probe.life || held.state > State::Doubted {
             return;
         }
-        let record = self.table.set(self.now, place, State::Doubted, self.life.chance);
-        self.spread.add(&record.name);
-        self.watch_doubt(&record.name);
-        // Whoever is doubted hears of it first.
-        self.send(record.address, Frame::News, vec![record]);
+        let (first, by) = (held.state == State::Present, self.life.chance);
+        let record = Record { state: State::Doubted, by, ..held.clone() };
+        self.learn(&record);
+        if first {
+            // Whoever is doubted hears of it first.
+            self.send(record.address, Frame::News, vec![record]);
+        }
     }
 
     /// How long a doubt stands: shorter the more share it, longer in a larger fleet, where news takes longer.
@@ -595,15 +579,15 @@
     }
 
     fn doubt_ends(&mut self, name: &str) {
-        let Some(place) = self.table.place(name) else { return };
-        let Some(doubt) = self.table.members[place].doubt.as_ref() else { return };
+        let Some(member) = self.table.named(name) else { return };
+        let Some(doubt) = member.doubt.as_ref() else { return };
         let ends = doubt.began + self.doubt_span(doubt.doubters.len());
         // A deaf one judges nobody; it looks again when it was heard.
         if self.deaf_until.is_some() || ends > self.now {
             return;
         }
-        let record = self.table.set(self.now, place, State::Gone, 0);
-        self.spread.add(&record.name);
+        let record = Record { state: State::Gone, by: 0, ..member.record.clone() };
+        self.learn(&record);
     }
 
     /// Up to so many members that fit, drawn by chance.
--- a/accord/src/membership/table.rs
+++ b/accord/src/membership/table.rs
@@ -134,7 +134,8 @@
         }
     }
 
-    fn planted(&self, _fault: crate::Planted) -> bool {
+    /// Whether that fault is planted: never without the feature.
+    pub(crate) fn planted(&self, _fault: crate::Planted) -> bool {
         #[cfg(feature = "planted")]
         return self.planted == Some(_fault);
         #[cfg(not(feature = "planted"))]
@@ -280,13 +281,6 @@
         self.overtaken >= OVERTAKEN_OFTEN
     }
 
-    /// Sets how a member stands by our own evidence.
-    pub fn set(&mut self, now: Micros, place: usize, state: State, by: u64) -> Record {
-        let record = Record { state, by, ..self.members[place].record.clone() };
-        self.merge(now, &record);
-        record
-    }
-
     /// Those that nobody doubts, by name.
     pub fn present(&self) -> impl Iterator<Item = &Member> {
         self.members.iter().filter(|member| member.record.state == State::Present)
--- a/lab/src/accord/clockwork.rs
+++ b/lab/src/accord/clockwork.rs
@@ -1,8 +1,7 @@
 //! Many accords on one virtual clock: each with a clock of its own that runs up to 1 % fast or slow, and a network that
 //! does to datagrams what the scenario says. One seed, one run.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use pinefront_accord::envelope::{Key, Life};
@@ -79,9 +78,7 @@
 struct Run {
     now: Micros,
     order: u64,
-    queue: BinaryHeap<Reverse<(Micros, u64, usize)>>,
-    events: Vec<Option<What>>,
-    free: Vec<usize>,
+    queue: BTreeMap<(Micros, u64), What>,
     processes: Vec<Process>,
     at_address: BTreeMap<SocketAddr, usize>,
     scenario: Scenario,
@@ -116,9 +113,7 @@
     let mut run = Run {
         now: 0,
         order: 0,
-        queue: BinaryHeap::new(),
-        events: Vec::new(),
-        free: Vec::new(),
+        queue: BTreeMap::new(),
         at_address: (0..members).map(|member| (address(member), member)).collect(),
         processes,
         scenario,
@@ -137,12 +132,7 @@
 impl Run {
     fn hang(&mut self, at: Micros, what: What) {
         self.order += 1;
-        let place = self.free.pop().unwrap_or_else(|| {
-            self.events.push(None);
-            self.events.len() - 1
-        });
-        self.events[place] = Some(what);
-        self.queue.push(Reverse((at, self.order, place)));
+        self.queue.insert((at, self.order), what);
     }
 
     fn whole(&mut self) {
@@ -150,13 +140,11 @@
             self.hang(at, What::Deed(deed));
         }
         self.hang(LOOKS_EVERY, What::Look);
-        while let Some(Reverse((at, _, place))) = self.queue.pop() {
+        while let Some(((at, _), what)) = self.queue.pop_first() {
             if at > self.scenario.ends {
                 break;
             }
             self.now = at;
-            let Some(what) = self.events[place].take() else { continue };
-            self.free.push(place);
             self.happens(what);
             if !self.judge.broken.is_empty() {
                 break;
@@ -227,7 +215,7 @@
             Deed::Leave(member) => {
                 let process = &mut self.processes[member];
                 let local = process.local(self.now);
-                self.judge.leaves(self.now, member);
+                self.judge.leaves(member);
                 if let Some(accord) = process.accord.as_mut() {
                     accord.leave(local);
                 }
@@ -296,7 +284,7 @@
         process.accord = Some(accord);
         self.at_address.insert(self.processes[member].address, member);
         let process = &self.processes[member];
-        self.judge.starts(now, member, process.life, process.address);
+        self.judge.starts(member, process.life, process.address);
         self.after(member, false);
     }
 
@@ -338,10 +326,7 @@
                 let at = self.now + self.chance.span(3 * SECOND);
                 self.hang(at, What::Comes { to, bytes });
             }
-            if let Some(part) = carried.spoilt {
-                let bit = (part * bytes.len() as f64 * 8.0) as usize;
-                bytes[bit / 8] ^= 1 << (bit % 8);
-            }
+            carried.spoil(&mut bytes);
             for delay in carried.copies {
                 self.hang(self.now + delay, What::Comes { to, bytes: bytes.clone() });
             }
--- a/lab/src/accord/judge.rs
+++ b/lab/src/accord/judge.rs
@@ -72,7 +72,7 @@
         self.broken.push(format!("{:.3} s: {what}", now as f64 / SECOND as f64));
     }
 
-    pub fn starts(&mut self, _now: Micros, member: usize, life: Option<Life>, address: SocketAddr) {
+    pub fn starts(&mut self, member: usize, life: Option<Life>, address: SocketAddr) {
         let Some(life) = life else { return };
         self.latest[member] = Some(self.lives.len());
         self.lives.push(Truth {
@@ -99,7 +99,7 @@
         }
     }
 
-    pub fn leaves(&mut self, _now: Micros, member: usize) {
+    pub fn leaves(&mut self, member: usize) {
         if let Some(truth) = self.truth(member) {
             (truth.serving, truth.left) = (false, true);
         }
@@ -132,16 +132,13 @@
                     }
                 }
                 Event::Gone(other) => {
-                    let life = accord.table.named(other).map(|known| known.record.life);
-                    let Some(at) = self.lives.iter().position(|truth| Some(truth.life) == life) else {
-                        continue;
-                    };
-                    let truth = &mut self.lives[at];
+                    let Some(known) = accord.table.named(other) else { continue };
+                    let truth = self.lives.iter_mut().find(|truth| truth.life == known.record.life);
+                    let Some(truth) = truth else { continue };
                     if let Some(died) = truth.died.filter(|_| truth.noticed.insert(member)) {
                         self.detected_ms.push((now - died) as f64 / 1_000.0);
                         continue;
                     }
-                    let Some(known) = accord.table.named(other) else { continue };
                     // It may have heard both of the doubt and of its end.
                     if known.record.state != State::Gone {
                         continue;
--- a/lab/src/accord/mod.rs
+++ b/lab/src/accord/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use clap::ValueEnum;
 use pinefront_accord::Planted;
 use serde::Serialize;
 
@@ -118,7 +119,8 @@
         for what in &played.broken {
             let planted = wish.planted.map(planted_name);
             let planted = planted.map_or(String::new(), |name| format!(" --plant {name}"));
-            let kind = wish.kind.map_or(String::new(), |kind| format!(" --kind {}", kind.name()));
+            let kind = wish.kind.and_then(|kind| kind.to_possible_value());
+            let kind = kind.map_or(String::new(), |kind| format!(" --kind {}", kind.get_name()));
             let replay = format!(
                 "pinefront-lab accord --seeds {seed}..{} --members {}{kind}{planted}",
                 seed + 1,
--- a/lab/src/accord/scenario.rs
+++ b/lab/src/accord/scenario.rs
@@ -30,20 +30,6 @@
     Lossy,
 }
 
-impl Kind {
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Any => "any",
-            Self::Pair => "pair",
-            Self::Sleep => "sleep",
-            Self::Leave => "leave",
-            Self::Death => "death",
-            Self::Halves => "halves",
-            Self::Lossy => "lossy",
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Deed {
     Start(usize),
@@ -103,28 +89,30 @@
         self.ways.troubles.push(Trouble { kind, from, to, side, against, one_way, factor, by });
     }
 
+    /// A trouble on every way until faults are over.
+    fn on_all(&mut self, kind: Fault, members: usize, factor: f64, by: Micros) {
+        let side: Vec<usize> = (0..members).collect();
+        let (from, to, against, one_way) = (0, FAULTS_TO, Some(side.clone()), false);
+        self.ways.troubles.push(Trouble { kind, from, to, side, against, one_way, factor, by });
+    }
+
     fn faults(&mut self, chance: &mut Chance, members: usize) {
         let from = FAULTS_FROM + chance.span(SECOND);
         match self.kind {
             Kind::Any => {
-                let all: Vec<usize> = (0..members).collect();
                 if chance.happens(0.5) {
                     let loss = [0.02, 0.1, 0.2, 0.3][chance.below(4)];
-                    self.trouble(Fault::LinkLossy, 0, FAULTS_TO, all.clone(), loss, 0);
-                    self.lie_on_all();
+                    self.on_all(Fault::LinkLossy, members, loss, 0);
                 }
                 if chance.happens(0.3) {
-                    self.trouble(Fault::LinkRepeats, 0, FAULTS_TO, all.clone(), 0.1, 0);
-                    self.lie_on_all();
+                    self.on_all(Fault::LinkRepeats, members, 0.1, 0);
                 }
                 if chance.happens(0.3) {
-                    self.trouble(Fault::LinkSpoils, 0, FAULTS_TO, all.clone(), 0.05, 0);
-                    self.lie_on_all();
+                    self.on_all(Fault::LinkSpoils, members, 0.05, 0);
                 }
                 if chance.happens(0.3) {
                     let by = 1_000 + chance.span(200_000);
-                    self.trouble(Fault::LinkSlow, 0, FAULTS_TO, all, 0.0, by);
-                    self.lie_on_all();
+                    self.on_all(Fault::LinkSlow, members, 0.0, by);
                 }
                 self.replayed = if chance.happens(0.5) { 0.05 } else { 0.0 };
                 for _ in 0..chance.below(5) {
@@ -171,19 +159,11 @@
             }
             Kind::Lossy => {
                 let loss = [0.05, 0.1, 0.2, 0.3][chance.below(4)];
-                self.trouble(Fault::LinkLossy, 0, FAULTS_TO, (0..members).collect(), loss, 0);
-                self.lie_on_all();
+                self.on_all(Fault::LinkLossy, members, loss, 0);
             }
         }
     }
 
-    /// The trouble added last lies on every way.
-    fn lie_on_all(&mut self) {
-        if let Some(trouble) = self.ways.troubles.last_mut() {
-            trouble.against = Some(trouble.side.clone());
-        }
-    }
-
     /// One fault of any kind, on a member that no other fault has stopped or killed.
     fn one(&mut self, chance: &mut Chance, members: usize) {
         let from = FAULTS_FROM + chance.span(FAULTS_TO - FAULTS_FROM);
--- a/lab/src/fleet/relays.rs
+++ b/lab/src/fleet/relays.rs
@@ -36,10 +36,7 @@
             if carried.copies.is_empty() {
                 relayed.lost.fetch_add(1, Ordering::Relaxed);
             }
-            if let Some(part) = carried.spoilt {
-                let bit = (part * bytes.len() as f64 * 8.0) as usize;
-                bytes[bit / 8] ^= 1 << (bit % 8);
-            }
+            carried.spoil(&mut bytes);
             for delay in carried.copies {
                 relayed.passed.fetch_add(1, Ordering::Relaxed);
                 if delay == 0 {
--- a/lab/src/fleet/views.rs
+++ b/lab/src/fleet/views.rs
@@ -65,15 +65,7 @@
 impl Views {
     pub fn new(world: &World, balancers: usize) -> Self {
         let line = world.line();
-        let events = line.events.iter().filter(|(_, what)| {
-            matches!(
-                what,
-                What::BalancerStarts(_)
-                    | What::BalancerGoesOn(_)
-                    | What::BalancerKilled(_)
-                    | What::BalancerStopped(_)
-            )
-        });
+        let events = line.events.iter().filter(|(_, what)| what.balancer().is_some());
         let over = events.map(|(at, _)| *at).max().unwrap_or(0).max(line.ways.over());
         let truth = vec![Truth { runs: true, ..Truth::default() }; balancers];
         let right = vec![Err("never asked".into()); balancers];
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -135,14 +135,7 @@
             let event = world.line().events.get(done).copied();
             let Some((_, what)) = event.filter(|(at, _)| *at <= world.now()) else { break };
             done += 1;
-            if matches!(
-                what,
-                What::BalancerKilled(_)
-                    | What::BalancerStopped(_)
-                    | What::BalancerStarts(_)
-                    | What::BalancerPauses(_)
-                    | What::BalancerGoesOn(_)
-            ) {
+            if what.balancer().is_some() {
                 // Nobody listens once the day is over.
                 let _ = balancers.send(what);
                 continue;
--- a/model/src/faults.rs
+++ b/model/src/faults.rs
@@ -45,6 +45,20 @@
     BalancerGoesOn(usize),
 }
 
+impl What {
+    /// The balancer that it happens to, if it is one.
+    pub fn balancer(self) -> Option<usize> {
+        match self {
+            Self::BalancerKilled(number)
+            | Self::BalancerStopped(number)
+            | Self::BalancerStarts(number)
+            | Self::BalancerPauses(number)
+            | Self::BalancerGoesOn(number) => Some(number),
+            _ => None,
+        }
+    }
+}
+
 /// What discovery is like at a moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Telling {
--- a/model/src/ways.rs
+++ b/model/src/ways.rs
@@ -46,6 +46,16 @@
     pub spoilt: Option<f64>,
 }
 
+impl Carried {
+    /// Turns the bit that is turned on the way, if one is.
+    pub fn spoil(&self, bytes: &mut [u8]) {
+        if let Some(part) = self.spoilt {
+            let bit = (part * bytes.len() as f64 * 8.0) as usize;
+            bytes[bit / 8] ^= 1 << (bit % 8);
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Ways {
     pub troubles: Vec<Trouble>,
--- a/node/src/fleet/operator.rs
+++ b/node/src/fleet/operator.rs
@@ -6,7 +6,7 @@
 use std::ops::Range;
 
 use pinefront_accord::envelope::Key;
-use pinefront_accord::frames::NAME_MOST;
+use pinefront_accord::frames::{NAME_MOST, is_name};
 use pinefront_accord::{Micros, Part};
 use serde::Deserialize;
 use toml::Spanned;
@@ -85,10 +85,7 @@
 
     fn word(&self, value: &Spanned<String>, field: &str) -> Result<String, String> {
         let text = value.get_ref();
-        let fits = !text.is_empty()
-            && text.len() <= NAME_MOST
-            && text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'"');
-        match fits {
+        match is_name(text) && !text.contains('"') {
             true => Ok(text.clone()),
             false => self.wrong(
                 value.span(),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -545,10 +545,10 @@
 
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
     fn pool_has_room(&self, now: Micros) -> bool {
-        let silence = self.silence();
+        let (silence, since) = (self.silence(), self.unheard_since(now));
         let heard =
             || self.present_order(now).iter().filter(|&&u| self.upstreams[u].silent_for(now) <= silence);
-        let held: f64 = heard().map(|&u| self.upstreams[u].out_since(self.unheard_since(now)).0).sum();
+        let held: f64 = heard().map(|&u| self.upstreams[u].out_since(since).0).sum();
         let limit: f64 = heard().take(self.circle().0).map(|&u| self.limit(now, u)).sum();
         let root = CHANCE * self.ease.max(0.0) + (1.0 / self.terms.balancers as f64).sqrt();
         held < LEAST.1.max(limit + root * limit.sqrt())
