Module: what is lost, not slow, ends in time for another; what was sent on is no queue

Change: a use case knows of what was overdue the part never answered (`Pace::overdue`). What was sent before counts in no queue.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,6 @@
-//! Every decision of the balancer. [`Balancer::start`] takes the [`Host`] it acts through; then a method is
-//! called for each thing that happens. The ordinary path is `place`, or `ask` and `place_asked`; `permitted`
-//! keeps the rules for each dispatch in `send`. Beside it stand six mechanisms (`docs/design.md`), and order
-//! by key, which is a rule (`turns.rs`).
+//! Every decision of the balancer: a method for each thing that happens, acting through the [`Host`]. The
+//! ordinary path is `place`, or `ask` and `place_asked`; `permitted` keeps the rules for `send`. Beside it
+//! stand six mechanisms (`docs/design.md`), and order by key, which is a rule (`turns.rs`).
 
 use std::rc::Rc;
 
@@ -39,15 +38,14 @@
 
 /// An answer this many times later than expected makes an upstream silent: beyond the spread of usual work.
 const SILENT: f64 = 4.0;
-/// Part of a usual answer time that an upstream rests after a failure.
+/// Part of a usual answer time that an upstream rests after a refusal.
 const REST: f64 = 0.5;
 /// A failure counts as an answer this many times as late as usual, or as late as it was.
 const FAILURE_LATENCY: f64 = 3.0;
 
-/// Hundredth parts lost at an upstream beyond which a dispatch that can't be called off ends early: less is
-/// chance, and long work would end for it. Parts of its time and expected answer times that it waits.
-const LONE_LOST: u64 = 10;
-const LONE: (f64, f64, f64) = (0.5, 0.85, 3.0);
+/// Where answers get lost: hundredth parts told of one upstream beyond which that is believed; parts of its
+/// time that a dispatch then waits at least and at most, and the expected answer times that it usually does.
+const LONE: (u64, f64, f64, f64) = (10, 0.5, 0.85, 3.0);
 
 /// In flight against what the shortest answer times would need, and what all may always have at an upstream.
 const STRETCH: f64 = 1.5;
@@ -345,13 +343,13 @@
         }
         ticket.dispatches.push(Dispatch { rested, before, ..Dispatch::new(u, now, scene) });
         let id = Rc::clone(&upstream.id);
-        // Where a dispatch can't be called off and answers get lost, it ends by itself in time for another.
-        let lone = self.upstreams[u].lost > LONE_LOST
-            && !self.terms.may_call_off
+        // Where answers get lost a dispatch ends by itself in time for another.
+        let told = self.upstreams[u].lost > LONE.0 && !self.terms.may_call_off;
+        let lone = (told || self.paces[ticket.use_case].loses(now))
             && self.terms.use_cases[ticket.use_case].effect.repeats();
         let spare = ticket.promised.saturating_sub(now) as f64;
         let patience =
-            (LONE.2 * self.expected(ticket.use_case)).clamp(LONE.0 * spare, LONE.1 * spare) as Micros;
+            (LONE.3 * self.expected(ticket.use_case)).clamp(LONE.1 * spare, LONE.2 * spare) as Micros;
         let until = if lone { now + patience.max(PUMP_EVERY) } else { Micros::MAX };
         self.host.dispatch(&ticket.id, &id, until.min(ticket.hard_stop));
         self.tell_keeper(now, u, None);
@@ -539,15 +537,13 @@
 
     fn has_room(&self, now: Micros, u: usize) -> bool {
         let (up, (held, _)) = (&self.upstreams[u], self.upstreams[u].out_since(self.unheard_since(now)));
-        let below = || held == 0.0 || held + ROUNDING < self.limit(now, u);
-        up.full_until <= now && (self.asks() || below())
+        up.full_until <= now && (self.asks() || held == 0.0 || held + ROUNDING < self.limit(now, u))
     }
 
     /// Whether all limits together leave room, with their root for chance: each may be less than a ticket.
     fn pool_has_room(&self, now: Micros) -> bool {
-        let (silence, since) = (self.silence(), self.unheard_since(now));
-        let heard =
-            || self.present_order(now).iter().filter(|&&u| self.upstreams[u].silent_for(now) <= silence);
+        let since = self.unheard_since(now);
+        let heard = || self.present_order(now).iter().filter(|&&u| !self.upstreams[u].silent_since(since));
         let held: f64 = heard().map(|&u| self.upstreams[u].out_since(since).0).sum();
         let limit: f64 = heard().take(self.circle().0).map(|&u| self.limit(now, u)).sum();
         let root = CHANCE * self.ease.max(0.0) + (1.0 / self.terms.balancers as f64).sqrt();
@@ -574,7 +570,8 @@
         self.crowded_until = now + LASTING as Micros;
         let rate = self.seen.succeeded.read(now, RECENT) / self.watched(now);
         let place = self.held.partition_point(|held| held.promised <= ticket.promised);
-        let wait = place as f64 / rate.max(1.0 / SECOND);
+        let ahead = self.held[..place].iter().filter(|held| held.dispatches.is_empty()).count();
+        let wait = ahead as f64 / rate.max(1.0 / SECOND);
         // With nothing to spare a ticket is not even held until the next look: its hard stop may come first.
         let slack = self.last_start(&ticket) as f64 - now as f64;
         let part = if ticket.within_share { HELD_PART.0 } else { HELD_PART.1 };
@@ -638,6 +635,9 @@
                 self.host.tell(None, &Word::Dropped(rested / 2).text());
             }
         }
+        let told = took as f64 > self.silence() && matches!(ending, Ending::Silent | Ending::Succeeded);
+        let [told, lost] = [told, ending == Ending::Silent].map(|is| f64::from(u8::from(is)));
+        self.paces[ticket.use_case].overdue.add(now, RECENT, lost, told);
         if took >= promised || ending == Ending::Succeeded {
             self.fared(now, ticket, took);
         }
@@ -660,16 +660,13 @@
         }
         let all = self.seen.answers.read().unwrap_or(took);
         let mut answer = took * all / pace.lasting.read().unwrap_or(took).max(1.0);
-        if ending != Ending::Silent {
-            upstream.unanswered_since = None;
-        }
+        upstream.unanswered_since = upstream.unanswered_since.filter(|_| ending == Ending::Silent);
         let mut payoff = 0.0;
         if ending == Ending::Succeeded {
             (upstream.left, upstream.answered) = (None, now);
             self.learn(now, ticket, number, took, answer, cold);
             payoff = (all / answer).min(WIDEST);
         } else {
-            // Where a connection broke under a ticket the next one may be answered.
             let rest = if ending.proves_not_run() { REST } else { 0.0 };
             upstream.full_until = now + (rest * pace.present.read().unwrap_or(0.0)) as Micros;
             // A fast failure must not make an upstream look quick, nor a lost answer make it look slow.
@@ -678,9 +675,7 @@
         let upstream = &mut self.upstreams[u];
         upstream.answers.add(now, heard, answer, ticket.work);
         upstream.lasting_answers.add(now, LASTING, answer, ticket.work);
-        if let Some(scene) = ticket.dispatches[number].scene.take() {
-            self.samples.push((scene, payoff));
-        }
+        self.samples.extend(ticket.dispatches[number].scene.take().map(|scene| (scene, payoff)));
         if self.samples.len() >= OUTCOMES_AN_UPDATE || now > self.updated + UPDATE_EVERY {
             self.update_weights(now);
         }
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -745,13 +745,74 @@
 fn a_lone_dispatch_ends_in_time_for_another(#[case] effect: Effect, #[case] early: bool) {
     let (mut balancer, _) = asking(effect, false);
     balancer.terms.may_call_off = false;
-    balancer.upstreams[0].lost = LONE_LOST + 1;
+    balancer.upstreams[0].lost = LONE.0 + 1;
     let mut sent = ticket(&[], false);
     balancer.send(START_AT, &mut sent, 0, None);
     let until = balancer.host.0.borrow().iter().find_map(|act| act.split(" until ").nth(1)?.parse().ok());
     assert_eq!(until < Some(sent.promised - START_AT), early);
 }
 
+/// r2f515a: one answer in twenty was lost at all upstreams alike, and its ticket with it, the repeat at hand. Where work is
+/// only slow, or a use case goes unanswered at half of the upstreams (norte, class_fail: 0.69 -> 0.17), repeats add to it.
+#[rstest]
+#[case::lost(6.0, 0.0, 100.0, true)]
+#[case::one_by_chance(1.0, 0.0, 100.0, false)]
+#[case::slow_and_answered(6.0, 6.0, 100.0, false)]
+#[case::much_is_lost(6.0, 0.0, 40.0, false)]
+fn what_is_lost_ends_in_time_for_another(
+    #[case] lost: f64, #[case] slow: f64, #[case] served: f64, #[case] early: bool,
+) {
+    let (mut balancer, _) = balancer(CELL, 4);
+    let pace = &mut balancer.paces[0];
+    pace.present.add(START_AT, RECENT, 25_000.0, served);
+    pace.overdue.add(START_AT, RECENT, 1.0, lost);
+    pace.overdue.add(START_AT, RECENT, 0.0, slow);
+    let mut sent = ticket(&[], false);
+    balancer.send(START_AT, &mut sent, 0, None);
+    let until = balancer.host.0.borrow().iter().find_map(|act| act.split(" until ").nth(1)?.parse().ok());
+    assert_eq!(until, Some(if early { 200 * MS } else { 5_000 * MS }));
+    // Its end, and with it the connection's, comes before the other is sent: never are two out.
+    assert!(!balancer.permitted(START_AT, &sent, 2));
+    balancer.ended(START_AT + 200 * MS, &mut sent, 0, Ending::Silent, 200 * MS);
+    assert!(balancer.permitted(START_AT + 200 * MS, &sent, 2));
+    assert!(balancer.paces[0].overdue.weight.sum > lost + slow - 1.0);
+}
+
+/// What came in time tells nothing of what is overdue; what came late tells that work is slow.
+#[rstest]
+#[case::in_time(Ending::Succeeded, 20, None)]
+#[case::slow(Ending::Succeeded, 200, Some(0.0))]
+#[case::lost(Ending::Silent, 200, Some(1.0))]
+#[case::the_client_left(Ending::CalledOff, 200, None)]
+fn of_what_is_overdue_the_lost_part_is_known(
+    #[case] how: Ending, #[case] after: u64, #[case] lost: Option<f64>,
+) {
+    let (mut balancer, _) = balancer(CELL, 2);
+    balancer.paces[0].present.add(START_AT, RECENT, 25_000.0, 1.0);
+    let mut sent = ticket(&[0], true);
+    sent.dispatches[0].out = true;
+    balancer.ended(START_AT + after * MS, &mut sent, 0, how, after * MS);
+    assert_eq!(balancer.paces[0].overdue.read(), lost);
+}
+
+/// r2f515a, as lost dispatches were sent again: those that wait for their own cell counted as a queue before all others,
+/// and a fifth of the tickets was dismissed before upstreams with room.
+#[rstest]
+#[case::one_that_may_go_anywhere(&[], 0)]
+#[case::one_sent_before(&[0], 1)]
+fn what_was_sent_before_is_no_queue_before_others(#[case] sent: &[usize], #[case] held: usize) {
+    let (mut balancer, _) = balancer(Effect::Redoable, 6);
+    balancer.seen.succeeded.add(START_AT, RECENT, 30.0);
+    balancer.started = 0;
+    for u in 0..6 {
+        balancer.upstreams[u].outs = vec![(START_AT, 1.0); 9];
+    }
+    balancer.held.push(ticket(sent, true));
+    let taken = Ticket { promised: START_AT + 401 * MS, ..ticket(&[], false) };
+    balancer.admit(START_AT, taken);
+    assert_eq!(balancer.held.len() - 1, held);
+}
+
 /// Tried again at once by clients that do not wait, each ticket would cost dozens of words.
 #[rstest]
 fn where_none_is_in_time_not_every_ticket_asks() {
--- a/src/known.rs
+++ b/src/known.rs
@@ -162,6 +162,8 @@
     pub(crate) squares: Mean,
     pub(crate) shortest: Option<f64>,
     pub(crate) hint: Mean,
+    /// Of what was out for longer than silence, the part that was never answered.
+    pub(crate) overdue: Mean,
 }
 
 /// What is seen of the fleet and of the traffic as a whole.
@@ -325,6 +327,11 @@
         }
     }
 
+    /// Whether nothing was heard of what was sent before then.
+    pub(crate) fn silent_since(&self, since: Micros) -> bool {
+        self.unanswered_since.is_some_and(|sent| sent < since)
+    }
+
     pub(crate) fn silent_for(&self, now: Micros) -> f64 {
         self.unanswered_since.map_or(0.0, |since| now.saturating_sub(since) as f64)
     }
--- a/src/measures.rs
+++ b/src/measures.rs
@@ -13,6 +13,9 @@
 pub(crate) const HEARD_EACH: f64 = 4.0;
 /// Answers that what is expected unheard counts as, and the part of the promised time that is expected then.
 pub(crate) const EACH: (f64, f64) = (3.0, 0.2);
+/// Overdue dispatches never answered before that is believed, their least part of all that is overdue, and the
+/// most that they may be of those answered.
+const LOSES: (f64, f64, f64) = (2.0, 0.7, 0.1);
 /// How the shortest answer time follows quicker and slower means: a jam is not taken for the usual.
 const FOLLOWS: (f64, f64) = (0.1, 0.0003);
 
@@ -23,8 +26,7 @@
         let promised = self.terms.shortest_promise() as f64;
         let [sum, count] =
             [&self.seen.each.total, &self.seen.each.weight].map(|part| part.read(now, LASTING));
-        let usual = (sum + EACH.0 * EACH.1 * promised) / (count + EACH.0) / self.capacity(u);
-        usual / self.grown(now, u)
+        (sum + EACH.0 * EACH.1 * promised) / (count + EACH.0) / self.capacity(u) / self.grown(now, u)
     }
 
     pub(crate) fn capacity(&self, u: usize) -> f64 {
@@ -83,9 +85,7 @@
         pace.lasting.add(now, LASTING, took, ticket.work);
         pace.squares.add(now, LASTING, took * took, ticket.work);
         seen.answers.add(now, LASTING, took, ticket.work);
-        if !cold {
-            seen.served.add(now, LASTING, ticket.work);
-        }
+        seen.served.add(now, LASTING, if cold { 0.0 } else { ticket.work });
         let upstream = &mut self.upstreams[*u];
         follow_shortest(&mut pace.shortest, pace.lasting.read().unwrap_or(took));
         follow_shortest(&mut upstream.shortest, upstream.lasting_answers.read().unwrap_or(answer));
@@ -101,6 +101,12 @@
 }
 
 impl Pace {
+    /// Whether what is overdue is lost, not slow, and little of all is: of much, repeats would add to harm.
+    pub(crate) fn loses(&self, now: Micros) -> bool {
+        let (lost, served) = (self.overdue.total.read(now, RECENT), self.present.weight.read(now, RECENT));
+        lost > LOSES.0 && self.overdue.read() > Some(LOSES.1) && lost < LOSES.2 * served
+    }
+
     /// Standard deviation of answer times over their mean; where none is known, as wide as may be.
     pub(crate) fn scatter(&self) -> f64 {
         let known = self.squares.read().zip(self.lasting.read());
