--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -98,6 +98,7 @@
         deadlines: Deadlines::default(),
         counters: Counters::default(),
         stopping: None,
+        closing: false,
         shortage_told: 0,
         turn: Turn::default(),
     }));
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -14,8 +14,10 @@
 
 /// How long new connections are taken after the signal: they go on coming until the front has noticed.
 const ACCEPT_ON: Micros = 500_000;
-/// How long a connection taken last may keep its request back: who opens one has something to send.
-const FIRST_MESSAGE: Micros = 100_000;
+/// How long connections are then still served: clients go on sending on those that stay open, and for the only balancer
+/// of a zone there is no other to go to. What is taken by then has its answer within its own time, and whoever ends
+/// us allows 0.7 s more than the longest of those. Who opens a connection last has this much to send its request.
+const SERVE_ON: Micros = 600_000;
 /// How often we look whether all is answered.
 const LOOK_EVERY: Micros = 20_000;
 /// When we end whatever is left: no ticket may wait that long.
@@ -56,9 +58,12 @@
         let slots: Vec<_> = self.desk.borrow().clients.keys().collect();
         slots.into_iter().for_each(|slot| self.client_ready(slot));
         let mut desk = self.desk.borrow_mut();
-        desk.close_idle_clients(since >= ACCEPT_ON + FIRST_MESSAGE);
+        if since >= SERVE_ON {
+            desk.closing = true;
+            desk.close_idle_clients();
+        }
         let waiting = desk.clients.values().any(Client::is_owed);
-        let done = since >= ACCEPT_ON + FIRST_MESSAGE && !waiting && desk.listener.is_none();
+        let done = since >= SERVE_ON && !waiting && desk.listener.is_none();
         if done || since >= GIVE_UP {
             info!(desk.log, "stopped"; "unanswered" => desk.tickets.len());
             self.over = true;
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -152,8 +152,10 @@
     pub fleet: Option<Rc<RefCell<Fleet>>>,
     pub deadlines: Deadlines,
     pub counters: Counters,
-    /// When it was told to stop: not ready from then on, and connections close between tickets.
+    /// When it was told to stop: not ready from then on.
     pub stopping: Option<Micros>,
+    /// Connections close between tickets, as the stop has gone so far.
+    pub closing: bool,
     /// When the log was last told that no descriptor is left for an upstream.
     pub shortage_told: Micros,
     pub turn: Turn,
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -191,9 +191,8 @@
 
     pub fn write_answer(&mut self, slot: ClientSlot, status: u16, fields: Vec<Bytes>, body: Vec<Bytes>) {
         let Some(client) = self.clients.get_mut(slot) else { return };
-        let stopping = self.stopping.is_some();
-        if client.last || stopping {
-            let reason = if stopping { reasons::STOPPED } else { reasons::CLIENT_LAST };
+        if client.last || self.closing {
+            let reason = if self.closing { reasons::STOPPED } else { reasons::CLIENT_LAST };
             client.ending.get_or_insert(reason);
         }
         let close = if client.ending.is_some() { "Connection: close\r\n" } else { "" };
@@ -255,12 +254,12 @@
     }
 
     /// Closes connections that stand between tickets, once what they sent has been looked at.
-    pub fn close_idle_clients(&mut self, fresh_too: bool) {
+    pub fn close_idle_clients(&mut self) {
         let idle = |client: &Client| !client.is_owed() && client.inbox.kept().is_empty();
         let slots: Vec<_> = self
             .clients
             .iter()
-            .filter(|(_, client)| idle(client) && !client.lingers && (fresh_too || client.answered > 0))
+            .filter(|(_, client)| idle(client) && !client.lingers)
             .map(|(slot, _)| slot)
             .collect();
         for slot in slots {
