--- a/accord/src/envelope.rs
+++ b/accord/src/envelope.rs
@@ -51,6 +51,26 @@
     pub chance: u64,
 }
 
+impl std::fmt::Display for Life {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:x}-{:016x}", self.born, self.chance)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("is no life as /fleet shows it, such as 1878a0c41c8c0-00c0ffee00c0ffee")]
+pub struct NoLife;
+
+impl std::str::FromStr for Life {
+    type Err = NoLife;
+
+    fn from_str(text: &str) -> Result<Self, NoLife> {
+        let (born, chance) = text.split_once('-').ok_or(NoLife)?;
+        let number = |text: &str| u64::from_str_radix(text, 16).map_err(|_| NoLife);
+        Ok(Self { born: number(born)?, chance: number(chance)? })
+    }
+}
+
 /// All that a datagram says.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub struct Letter {
--- a/accord/src/frames.rs
+++ b/accord/src/frames.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::duties::frames::DutyFrame;
 use crate::envelope::Life;
 
 /// Bytes of a name or a zone at most.
@@ -83,4 +84,5 @@
     Swap {
         wants: bool,
     },
+    Duty(DutyFrame),
 }
--- a/accord/src/lib.rs
+++ b/accord/src/lib.rs
@@ -3,17 +3,21 @@
 //! events. The same events and seed give the same datagrams to the byte. Times are whole microseconds of any clock
 //! that never goes back and goes on while the process is stopped.
 
+pub mod duties;
 pub mod envelope;
 pub mod frames;
 pub mod membership;
+pub mod roster;
 mod timers;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use nanorand::{Rng, WyRand};
 
+use duties::plan::Place;
+use duties::{Duties, Duty, DutyEvent, DutyTerms};
 use envelope::{Counters, DATAGRAM_MOST, Drop, Key, Letter, Life};
 use frames::{Frame, NAME_MOST, Record, State};
 use membership::probing::{Probe, Probing};
@@ -71,6 +75,8 @@
     pub answer_within: Micros,
     /// The shortest span in which a doubt may be refuted.
     pub doubt_least: Micros,
+    /// Processes, by name and life, that have ended by the operators' word.
+    pub struck: BTreeSet<(Rc<str>, Life)>,
 }
 
 impl Part {
@@ -126,6 +132,8 @@
     spread: Spread,
     timers: Timers,
     counters: Counters,
+    /// Local time when it began.
+    began: Micros,
     counter: u64,
     out: Vec<(SocketAddr, Vec<u8>)>,
     tally: Tally,
@@ -137,6 +145,9 @@
     slept: u64,
     /// Where in the table the next part to swap begins.
     cursor: usize,
+    /// Its part in what only one member does at a time, where the file names voters.
+    duties: Option<Duties>,
+    duties_due: Micros,
     /// When names were last told that they came back with too small an incarnation.
     old_told: BTreeMap<String, Micros>,
     quiet_until: Micros,
@@ -147,16 +158,19 @@
         let mut chance = WyRand::new_seed(seed);
         let life = Life { born: part.born, chance: chance.generate::<u64>().max(1) };
         let own = own_record(&part.name, &part.zone, part.address, life);
+        let mut table = Table::new(own);
+        table.strike(part.struck.clone());
         let mut accord = Self {
             part,
             key,
             life,
             chance,
-            table: Table::new(own),
+            table,
             probing: Probing::default(),
             spread: Spread::default(),
             timers: Timers::default(),
             counters: Counters::default(),
+            began: now,
             counter: 0,
             out: Vec::new(),
             tally: Tally::default(),
@@ -164,6 +178,8 @@
             deaf_until: None,
             slept: 0,
             cursor: 0,
+            duties: None,
+            duties_due: Micros::MAX,
             old_told: BTreeMap::new(),
             quiet_until: 0,
         };
@@ -188,6 +204,83 @@
         self.counters.takes_replays = fault == Planted::TakesReplays;
     }
 
+    /// Takes part in these duties from now on. A fleet has them only where its file names voters; others than before
+    /// make this process a new voter, which is silent at first.
+    pub fn take_duties(&mut self, now: Micros, terms: DutyTerms, duties: Vec<Duty>) {
+        self.now = self.now.max(now);
+        if self.duties.as_ref().is_none_or(|known| *known.terms() != terms) {
+            if let Some(mut before) = self.duties.take() {
+                before.stop(self.now);
+                self.duties = Some(before);
+                self.say_duties();
+            }
+            // Where local time began, by the time of day at the start.
+            let wall = (self.part.born / 1_000).saturating_sub(self.began / 1_000);
+            let me = Rc::clone(&self.table.own.name);
+            self.duties = Some(Duties::new(self.now, terms, me, self.life.chance, wall));
+        }
+        if let Some(known) = &mut self.duties {
+            known.want(self.now, duties);
+        }
+        self.say_duties();
+    }
+
+    /// The file names no voters any more: what is held is let go.
+    pub fn leave_duties(&mut self, now: Micros) {
+        self.now = self.now.max(now);
+        if let Some(duties) = &mut self.duties {
+            duties.stop(self.now);
+            duties.want(self.now, Vec::new());
+        }
+        self.say_duties();
+    }
+
+    pub fn duties(&self) -> Option<&Duties> {
+        self.duties.as_ref()
+    }
+
+    pub fn take_duty_events(&mut self) -> Vec<DutyEvent> {
+        self.duties.as_mut().map(Duties::take_events).unwrap_or_default()
+    }
+
+    /// Sends an act in a duty's name to a member, if this one holds it now and for so long yet.
+    pub fn act(
+        &mut self, now: Micros, duty: duties::term::DutyId, to: &Rc<str>, takes: Micros, body: Vec<u8>,
+    ) -> bool {
+        self.now = self.now.max(now);
+        let done = self.duties.as_mut().is_some_and(|duties| duties.act(now, duty, to, takes, body));
+        self.say_duties();
+        done
+    }
+
+    /// Does what is due of duties.
+    fn turn_duties(&mut self) {
+        let own = &self.table.own;
+        let of = |record: &Record| Place { name: Rc::clone(&record.name), zone: Rc::clone(&record.zone) };
+        let present: Vec<Place> =
+            [own].into_iter().chain(self.table.present().map(|member| &member.record)).map(of).collect();
+        let fit = self.deaf_until.is_none() && self.now >= self.quiet_until;
+        if let Some(duties) = &mut self.duties {
+            duties.due(self.now, &present, fit);
+        }
+        self.say_duties();
+    }
+
+    /// Sends what duties have to say, and hangs when they are next due.
+    fn say_duties(&mut self) {
+        let Some(duties) = &mut self.duties else { return };
+        let (frames, next) = (duties.take_frames(), duties.next_due().max(self.now + 1));
+        for (name, frame) in frames {
+            if let Some(place) = self.table.place(&name) {
+                self.say(place, Frame::Duty(frame));
+            }
+        }
+        if next < self.duties_due || self.duties_due <= self.now {
+            self.duties_due = next;
+            self.timers.hang(next, Due::Duties);
+        }
+    }
+
     pub fn life(&self) -> Life {
         self.life
     }
@@ -248,6 +341,10 @@
         self.probing.under_way = None;
         self.probing.worse();
         self.extend_doubts();
+        if let Some(duties) = &mut self.duties {
+            duties.paused(self.now);
+        }
+        self.say_duties();
     }
 
     /// Takes other seeds, spans and another key. Who this process is stays as it was.
@@ -256,6 +353,7 @@
         self.part.seeds.clone_from(&part.seeds);
         (self.part.probe_every, self.part.answer_within) = (part.probe_every, part.answer_within);
         self.part.doubt_least = part.doubt_least;
+        self.table.strike(part.struck.clone());
     }
 
     /// This process serves no more: its last ticket is answered. Said to several, who tell it on.
@@ -264,6 +362,10 @@
         if self.table.own.state == State::Left {
             return;
         }
+        if let Some(duties) = &mut self.duties {
+            duties.stop(self.now);
+        }
+        self.say_duties();
         self.table.own.state = State::Left;
         if self.table.planted(Planted::LeavesUntold) {
             return;
@@ -358,6 +460,8 @@
     /// A member was heard itself: whatever is held of it, it is told.
     fn heard_from(&mut self, place: usize, letter: &Letter, known: bool) {
         let now = self.now;
+        let name = Rc::clone(&self.table.members[place].record.name);
+        self.table.heard(&name, letter.life);
         let member = &mut self.table.members[place];
         if member.record.life != letter.life {
             return;
@@ -405,6 +509,13 @@
                     self.say_part(place, false);
                 }
             }
+            Frame::Duty(frame) => {
+                let name = Rc::clone(&self.table.members[place].record.name);
+                if let Some(duties) = &mut self.duties {
+                    duties.heard(self.now, &name, letter.life.chance, frame);
+                }
+                self.say_duties();
+            }
         }
         Ok(())
     }
@@ -434,6 +545,12 @@
 
     fn happens(&mut self, due: Due) {
         match due {
+            Due::Duties => {
+                // One hung before a sooner one has nothing to do.
+                if self.now >= self.duties_due {
+                    self.turn_duties();
+                }
+            }
             Due::Round => self.end_round(),
             Due::Again => self.probe_again(),
             Due::Errand(number) => {
--- a/accord/src/membership/table.rs
+++ b/accord/src/membership/table.rs
@@ -1,6 +1,6 @@
 //! The table of members, how records of others are merged into it, and the three questions that it answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -66,6 +66,8 @@
 pub enum Proof {
     /// It said so itself when it had served its last ticket.
     SaidSo,
+    /// The operators say so, and it was never heard since.
+    Struck,
 }
 
 /// All that can be said of a process. There is no further case: silence proves nothing.
@@ -92,6 +94,8 @@
     HeardAgain,
     /// Another living process bears our name.
     NameTaken,
+    /// A process that the operators struck was heard all the same: their word of it is void.
+    StruckHeard(Rc<str>),
     /// A member could not be taken in.
     TableFull,
 }
@@ -115,6 +119,11 @@
     pub members: Vec<Member>,
     by_name: BTreeMap<Rc<str>, usize>,
     pub events: Vec<Event>,
+    /// Processes that have ended by the operators' word, and those of them that were heard all the same.
+    struck: BTreeSet<(Rc<str>, Life)>,
+    struck_void: BTreeSet<(Rc<str>, Life)>,
+    /// How often this process had to say that it is there: each time somebody was wrong, or it had been stopped.
+    pub refuted: u64,
     /// Our incarnation was overtaken by another process of our name so often.
     overtaken: u32,
     #[cfg(feature = "planted")]
@@ -128,6 +137,9 @@
             members: Vec::new(),
             by_name: BTreeMap::new(),
             events: Vec::new(),
+            struck: BTreeSet::new(),
+            struck_void: BTreeSet::new(),
+            refuted: 0,
             overtaken: 0,
             #[cfg(feature = "planted")]
             planted: None,
@@ -188,6 +200,7 @@
                     false => member.earlier_uncounted += 1,
                 }
             }
+            // Only of one name: of two names nobody knows whose record is the later one.
             member.earlier.retain(|earlier| earlier.address != record.address);
             member.heard = None;
         }
@@ -228,7 +241,7 @@
             self.members.len() - 1
         } else {
             // Only those give way of whom nothing is left to be known.
-            let left = |member: &Member| member.record.state == State::Left && member.may_serve() == 0;
+            let left = |member: &Member| member.record.state >= State::Gone && self.may_serve(member) == 0;
             let oldest = (0..self.members.len()).filter(|&place| left(&self.members[place]));
             let Some(place) = oldest.min_by_key(|&place| self.members[place].since) else {
                 return Merged::Full;
@@ -271,6 +284,7 @@
             self.own.incarnation = record.incarnation.saturating_sub(1);
         }
         if !other {
+            self.refuted += 1;
             self.events.push(Event::Refuted);
         }
         Merged::Refuted
@@ -294,36 +308,70 @@
     fn counted(&self, member: &Member) -> usize {
         let forgotten =
             self.planted(crate::Planted::SilentCountsAsGone) && member.record.state == State::Gone;
-        if forgotten { 0 } else { member.may_serve() }
+        if forgotten { 0 } else { self.may_serve(member) }
     }
 
-    /// Whether a process of that name and life may be serving as far as is known here; nothing where it was never
-    /// known.
-    pub fn standing(&self, name: &str, life: Life) -> Option<Standing> {
-        let member = self.named(name)?;
-        if member.record.life == life {
-            let forgotten = self.counted(member) == 0;
-            return Some(if forgotten { Standing::ProvenGone(Proof::SaidSo) } else { member.standing() });
+    /// Takes the operators' word for which processes have ended, in place of what they said before. Of one that was
+    /// heard after such a word no such word is taken again.
+    pub fn strike(&mut self, struck: BTreeSet<(Rc<str>, Life)>) {
+        self.struck = struck.difference(&self.struck_void).cloned().collect();
+    }
+
+    /// A process was heard itself. Whether the operators had said that it has ended.
+    pub fn heard(&mut self, name: &Rc<str>, life: Life) -> bool {
+        let one = (Rc::clone(name), life);
+        let void = self.struck.remove(&one);
+        if void {
+            self.struck_void.insert(one);
+            self.events.push(Event::StruckHeard(Rc::clone(name)));
         }
-        let earlier = member.earlier.iter().any(|earlier| earlier.life == life);
-        earlier.then_some(Standing::MayServe(Unknown::Followed))
+        void
     }
-}
 
-impl Member {
-    pub fn standing(&self) -> Standing {
-        match self.record.state {
+    fn is_struck(&self, name: &Rc<str>, life: Life) -> bool {
+        !self.struck.is_empty() && self.struck.contains(&(Rc::clone(name), life))
+    }
+
+    /// How a member stands. The operators' word goes only for one that nobody hears.
+    pub fn standing_of(&self, member: &Member) -> Standing {
+        match member.record.state {
             State::Present => Standing::MayServe(Unknown::Present),
             State::Doubted => Standing::MayServe(Unknown::Doubted),
+            State::Gone if self.is_struck(&member.record.name, member.record.life) => {
+                Standing::ProvenGone(Proof::Struck)
+            }
             State::Gone => Standing::MayServe(Unknown::Silent),
             State::Left => Standing::ProvenGone(Proof::SaidSo),
         }
     }
 
-    /// Processes of this name that may be serving.
-    pub fn may_serve(&self) -> usize {
-        let own = usize::from(matches!(self.standing(), Standing::MayServe(_)));
-        own + self.earlier.len() + self.earlier_uncounted
+    /// Earlier processes of a member's name that may be serving.
+    pub fn earlier_of<'a>(&'a self, member: &'a Member) -> impl Iterator<Item = &'a Earlier> {
+        member.earlier.iter().filter(|earlier| !self.is_struck(&member.record.name, earlier.life))
+    }
+
+    /// Processes of a member's name that may be serving.
+    pub fn may_serve(&self, member: &Member) -> usize {
+        let own = usize::from(matches!(self.standing_of(member), Standing::MayServe(_)));
+        own + self.earlier_of(member).count() + member.earlier_uncounted
+    }
+
+    /// Whether a process of that name and life may be serving as far as is known here; nothing where it was never
+    /// known.
+    pub fn standing(&self, name: &str, life: Life) -> Option<Standing> {
+        let member = self.named(name)?;
+        if member.record.life == life {
+            let forgotten = self.counted(member) == 0 && self.may_serve(member) > 0;
+            return Some(match forgotten {
+                true => Standing::ProvenGone(Proof::SaidSo),
+                false => self.standing_of(member),
+            });
+        }
+        member.earlier.iter().find(|earlier| earlier.life == life)?;
+        Some(match self.is_struck(&member.record.name, life) {
+            true => Standing::ProvenGone(Proof::Struck),
+            false => Standing::MayServe(Unknown::Followed),
+        })
     }
 }
 
--- a/accord/src/tests.rs
+++ b/accord/src/tests.rs
@@ -1,6 +1,8 @@
 use rstest::rstest;
 
 use super::*;
+use crate::membership::table::Standing;
+use crate::membership::table::{Proof, Unknown};
 
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000_000;
@@ -17,6 +19,7 @@
         probe_every: Part::PROBE_EVERY,
         answer_within: Part::ANSWER_WITHIN,
         doubt_least: Part::DOUBT_LEAST,
+        struck: BTreeSet::new(),
     }
 }
 
@@ -115,7 +118,10 @@
     let life = all[2].life();
     for one in &all[..2] {
         let known = one.table.named("b2").unwrap();
-        assert_eq!((known.record.life, known.record.state, known.may_serve()), (life, State::Present, 1));
+        assert_eq!(
+            (known.record.life, known.record.state, one.table.may_serve(known)),
+            (life, State::Present, 1)
+        );
     }
     assert!(!all[2].table.name_is_taken());
 }
@@ -131,7 +137,37 @@
     carry(&mut all, 10 * SECOND, 12 * SECOND, &[]);
     assert_eq!(all[3].tally().sent, told);
     // Both may be serving, whoever speaks.
-    assert_eq!(all[0].table.named("b1").unwrap().may_serve(), 2);
+    assert_eq!(all[0].table.may_serve(all[0].table.named("b1").unwrap()), 2);
+}
+
+/// A machine that died for good would be counted for ever; the operators may say so, and may be wrong.
+#[test]
+fn the_operators_word_goes_for_who_is_silent_until_it_is_heard() {
+    let mut all: Vec<Accord> = (0..3).map(accord).collect();
+    carry(&mut all, 0, 3 * SECOND, &[]);
+    let (life, own) = (all[2].life(), all[0].part.clone());
+    let struck = [(Rc::from("b2"), life)].into();
+    all[0].renew(&Part { struck, ..own }, Key::new(b"0123456789abcdef").unwrap());
+    // It is there: the word does not go for it.
+    let standing = |one: &Accord| one.table.standing("b2", life).unwrap();
+    assert_eq!((standing(&all[0]), all[0].table.may_be_serving()), (Standing::MayServe(Unknown::Present), 2));
+    carry(&mut all, 3 * SECOND, 5 * SECOND, &[]);
+    assert!(all[0].take_events().contains(&Event::StruckHeard("b2".into())));
+    all[2] = Accord::new(part(2), Key::new(b"0123456789abcdef").unwrap(), 77, 5 * SECOND);
+    carry(&mut all, 5 * SECOND, 8 * SECOND, &[]);
+    let life = all[2].life();
+    let standing = |one: &Accord| one.table.standing("b2", life).unwrap();
+    carry(&mut all, 8 * SECOND, 15 * SECOND, &[2]);
+    all[0].table.strike([(Rc::from("b2"), life)].into());
+    assert_eq!((standing(&all[0]), all[0].table.may_be_serving()), (Standing::ProvenGone(Proof::Struck), 1));
+    assert_eq!(all[1].table.may_be_serving(), 2);
+    all[0].take_events();
+    carry(&mut all, 15 * SECOND, 17 * SECOND, &[]);
+    assert!(all[0].take_events().contains(&Event::StruckHeard("b2".into())));
+    carry(&mut all, 17 * SECOND, 25 * SECOND, &[2]);
+    // Said once more of the same process: it was heard after the first time, and counts.
+    all[0].table.strike([(Rc::from("b2"), life)].into());
+    assert_eq!((standing(&all[0]), all[0].table.may_be_serving()), (Standing::MayServe(Unknown::Silent), 2));
 }
 
 /// Ten thousand a second from a stranger: each costs a hash, and nothing else happens.
--- a/accord/src/timers.rs
+++ b/accord/src/timers.rs
@@ -19,6 +19,7 @@
     Swap,
     Gone,
     Seeds,
+    Duties,
 }
 
 #[derive(Default)]
--- a/lab/src/accord/clockwork.rs
+++ b/lab/src/accord/clockwork.rs
@@ -4,14 +4,17 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
+use pinefront_accord::duties::{Duty, DutyEvent, DutyTerms, LEASE_USUAL, Why};
 use pinefront_accord::envelope::{Key, Life};
 use pinefront_accord::membership::table::Event;
 use pinefront_accord::{Accord, Part, Planted};
 use pinefront_model::chance::Chance;
+use pinefront_model::tenures::{Held, Tenures};
 use pinefront_model::{Micros, SECOND};
 
+use super::Wish;
 use super::judge::Judge;
-use super::scenario::{Deed, Kind, Scenario};
+use super::scenario::{Deed, Scenario};
 
 /// How far clock rates lie apart, as a part of 1 to either side.
 const RATES_APART: f64 = 0.01;
@@ -19,7 +22,11 @@
 const LOOKS_EVERY: Micros = 250_000;
 /// Members that all others know from their files.
 const SEEDS: usize = 3;
+/// Members that vote on duties: the first.
+const VOTERS: usize = 3;
 const SENT_KEPT: usize = 256;
+/// The last part of a run.
+pub const LATE: Micros = 10 * SECOND;
 
 /// What one seed came to.
 #[derive(Debug, Default)]
@@ -29,18 +36,31 @@
     pub member_seconds: f64,
     pub sent: u64,
     pub sent_bytes: u64,
+    /// The same in the last ten seconds, when the start and, in most scenarios, the faults are long over.
+    pub late: (u64, u64),
     pub detected_ms: Vec<f64>,
     pub one_view_ms: Option<f64>,
     pub wrong_doubts: u64,
+    /// Who held which duty, where there were any.
+    pub duties: Held,
+    pub vacant: usize,
     /// Of all that was sent, in its order: equal for equal runs.
     pub trace: u64,
 }
 
 enum What {
     Deed(Deed),
-    Comes { to: SocketAddr, bytes: Vec<u8> },
-    Wakes { member: usize, turn: u64 },
+    Comes {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    Wakes {
+        member: usize,
+        turn: u64,
+    },
     Look,
+    /// The last span begins, whose traffic is counted apart.
+    Late,
 }
 
 /// One process of a member, or the place where the next one will run.
@@ -87,13 +107,16 @@
     seed: u64,
     planted: Option<Planted>,
     judge: Judge,
+    duties: Vec<Duty>,
+    tenures: Tenures,
     /// Datagrams that somebody listened to, to be sent again.
     listened: VecDeque<(SocketAddr, Vec<u8>)>,
     played: Played,
 }
 
-pub fn play(seed: u64, members: usize, kind: Option<Kind>, planted: Option<Planted>) -> Played {
-    let scenario = Scenario::draw(seed, members, kind);
+pub fn play(seed: u64, wish: &Wish) -> Played {
+    let (members, planted) = (wish.members, wish.planted);
+    let scenario = Scenario::draw(seed, members, wish.kind, wish.loss);
     let mut chance = Chance::split(seed, "clockwork", 0);
     let processes: Vec<Process> = (0..members)
         .map(|member| Process {
@@ -122,6 +145,8 @@
         seed,
         planted,
         judge,
+        duties: (0..wish.duties).map(|number| Duty::new(&format!("duty-{number}"), None)).collect(),
+        tenures: Tenures::default(),
         listened: VecDeque::new(),
         played: Played::default(),
     };
@@ -140,6 +165,7 @@
             self.hang(at, What::Deed(deed));
         }
         self.hang(LOOKS_EVERY, What::Look);
+        self.hang(self.scenario.ends.saturating_sub(LATE), What::Late);
         while let Some(((at, _), what)) = self.queue.pop_first() {
             if at > self.scenario.ends {
                 break;
@@ -151,21 +177,28 @@
             }
         }
         self.judge.ends(self.now, &self.processes);
+        self.end_duties();
         let members = self.processes.len() as f64;
         self.played.seconds = self.now as f64 / SECOND as f64;
         self.played.member_seconds = self.played.seconds * members;
-        for process in self.processes.iter().filter_map(|process| process.accord.as_ref()) {
-            self.played.sent += process.tally().sent;
-            self.played.sent_bytes += process.tally().sent_bytes;
-        }
+        (self.played.sent, self.played.sent_bytes) = self.sent();
+        let late = &mut self.played.late;
+        *late = (self.played.sent.saturating_sub(late.0), self.played.sent_bytes.saturating_sub(late.1));
         self.played.broken = std::mem::take(&mut self.judge.broken);
         self.played.detected_ms = std::mem::take(&mut self.judge.detected_ms);
         self.played.one_view_ms = self.judge.one_view_ms;
         self.played.wrong_doubts = self.judge.wrong_doubts;
     }
 
+    /// Datagrams and bytes that those sent that run now.
+    fn sent(&self) -> (u64, u64) {
+        let tallies = self.processes.iter().filter_map(|process| Some(process.accord.as_ref()?.tally()));
+        tallies.fold((0, 0), |sum, tally| (sum.0 + tally.sent, sum.1 + tally.sent_bytes))
+    }
+
     fn happens(&mut self, what: What) {
         match what {
+            What::Late => self.played.late = self.sent(),
             What::Deed(deed) => self.deed(deed),
             What::Comes { to, bytes } => {
                 let Some(&member) = self.at_address.get(&to) else { return };
@@ -211,15 +244,17 @@
                 process.accord = None;
                 process.waiting.clear();
                 self.judge.dies(self.now, member);
+                self.tenures.dies(self.now, member);
             }
             Deed::Leave(member) => {
                 let process = &mut self.processes[member];
                 let local = process.local(self.now);
-                self.judge.leaves(member);
+                self.judge.leaves(self.now, member);
                 if let Some(accord) = process.accord.as_mut() {
                     accord.leave(local);
                 }
                 self.send(member);
+                self.duty_events(member);
                 self.processes[member].accord = None;
             }
             Deed::Stop(member) => self.processes[member].stopped = true,
@@ -271,6 +306,7 @@
                 probe_every: Part::PROBE_EVERY,
                 answer_within: Part::ANSWER_WITHIN,
                 doubt_least: Part::DOUBT_LEAST,
+                struck: Default::default(),
             },
             self.key.clone(),
             chance.whole(),
@@ -280,17 +316,23 @@
             #[cfg(any(test, feature = "planted"))]
             accord.plant(_fault);
         }
+        if !self.duties.is_empty() {
+            let voters = (0..VOTERS).map(|voter| name(voter).into()).collect();
+            let terms = DutyTerms { voters, lease: LEASE_USUAL };
+            accord.take_duties(process.local(now), terms, self.duties.clone());
+        }
         process.life = Some(accord.life());
         process.accord = Some(accord);
         self.at_address.insert(self.processes[member].address, member);
         let process = &self.processes[member];
-        self.judge.starts(member, process.life, process.address);
+        self.judge.starts(now, member, process.life);
         self.after(member, false);
     }
 
     /// Takes what a process has to say after it was told something, and hangs its next waking.
     fn after(&mut self, member: usize, woke: bool) {
         self.send(member);
+        self.duty_events(member);
         let process = &mut self.processes[member];
         let Some(accord) = process.accord.as_mut() else { return };
         let (events, next) = (accord.take_events(), accord.next_due());
@@ -301,6 +343,48 @@
         self.told(member, &events, woke);
     }
 
+    /// Takes down what a process says of its duties, by the true clock.
+    fn duty_events(&mut self, member: usize) {
+        let (now, process) = (self.now, &mut self.processes[member]);
+        let Some(accord) = process.accord.as_mut() else { return };
+        let events = accord.take_duty_events();
+        let id = member as u64 * 1_000 + process.starts;
+        for event in events {
+            match event {
+                DutyEvent::Taken { duty, term, .. } => {
+                    self.tenures.begins(now, member, &duty, (term.number, term.life));
+                }
+                DutyEvent::Lost { duty, term, until, why } => {
+                    let how = if why == Why::LetGo { "let go" } else { "lost" };
+                    let until = process.global(until);
+                    self.tenures.ends(until, member, &duty, (term.number, term.life), how);
+                }
+                DutyEvent::Acted { duty, term, .. } => {
+                    self.tenures.acted(id, &format!("{duty:?}"), (term.number, term.life));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// What is open at the end is held as long as its lease says: a process that is stopped can't say that it lost it.
+    fn end_duties(&mut self) {
+        for (member, process) in self.processes.iter().enumerate() {
+            let duties = process.accord.as_ref().and_then(Accord::duties);
+            for (duty, term, until) in duties.into_iter().flat_map(|duties| duties.open()) {
+                let until = process.global(until);
+                self.tenures.ends(until, member, &duty.name, (term.number, term.life), "open");
+            }
+        }
+        let ends = self.scenario.ends;
+        let found = self.tenures.found(ends);
+        let mut broken: Vec<String> = found.overlaps.iter().take(3).cloned().collect();
+        broken.extend(self.tenures.old_taken.iter().take(3).cloned());
+        self.judge.broken.extend(broken);
+        self.played.vacant = self.tenures.vacant(ends).len();
+        self.played.duties = found;
+    }
+
     fn told(&mut self, member: usize, events: &[Event], woke: bool) {
         if !events.is_empty() {
             self.judge.told(self.now, member, events, woke, &self.processes);
--- a/lab/src/accord/mod.rs
+++ b/lab/src/accord/mod.rs
@@ -4,6 +4,7 @@
 pub mod judge;
 pub mod scenario;
 
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -35,12 +36,24 @@
     /// Datagrams and bytes that a member sends in a second.
     pub datagrams_a_second: f64,
     pub bytes_a_second: f64,
+    /// The same in the last ten seconds of each seed.
+    pub datagrams_a_second_late: f64,
+    pub bytes_a_second_late: f64,
     /// From a death to each of the others holding it for gone, in milliseconds.
     pub detected_ms: Spread,
     /// From the last fault's end to one view in all tables.
     pub one_view_ms: Spread,
     /// Doubts of members that were there and reachable, an hour of a fleet.
     pub wrong_doubts_an_hour: f64,
+    /// From a duty's being lost to the next one's holding it, in milliseconds, by how it was lost.
+    pub without_holder_ms: BTreeMap<&'static str, Spread>,
+    /// Changes of one duty's hands, an hour; and the most of one duty in any minute.
+    pub duty_changes_an_hour: f64,
+    pub duty_changes_most_a_minute: usize,
+    /// Turns that began with a term below the one before: no harm is done by one, as its acts are not taken.
+    pub terms_fallen: usize,
+    /// Duties that nobody held at the end of a seed.
+    pub duties_vacant: usize,
 }
 
 #[derive(Debug, Default, Serialize)]
@@ -69,6 +82,10 @@
     pub members: usize,
     pub planted: Option<Planted>,
     pub kind: Option<scenario::Kind>,
+    /// Part of all datagrams that is lost, in place of what the seed says.
+    pub loss: Option<f64>,
+    /// Duties that the members hold; none where 0.
+    pub duties: usize,
     /// Ends at the first seed that breaks.
     pub first_only: bool,
 }
@@ -92,7 +109,7 @@
                     {
                         return;
                     }
-                    let played = clockwork::play(seed, wish.members, wish.kind, wish.planted);
+                    let played = clockwork::play(seed, wish);
                     if wish.first_only && !played.broken.is_empty() {
                         ended.store(true, Ordering::Relaxed);
                     }
@@ -111,9 +128,14 @@
         |of: &dyn Fn(&clockwork::Played) -> f64| all.iter().map(|(_, played)| of(played)).sum::<f64>();
     let seconds = total(&|played| played.seconds).max(1e-9);
     let member_seconds = total(&|played| played.member_seconds).max(1e-9);
+    let late = all.len().max(1) as f64 * wish.members as f64 * clockwork::LATE as f64 / 1e6;
     let list = |of: &dyn Fn(&clockwork::Played) -> Vec<f64>| {
         spread(all.iter().flat_map(|(_, played)| of(played)).collect())
     };
+    let mut without: BTreeMap<&'static str, Vec<f64>> = BTreeMap::new();
+    for (span, how) in all.iter().flat_map(|(_, played)| &played.duties.without) {
+        without.entry(how).or_default().push(*span as f64 / 1_000.0);
+    }
     let mut broken = Vec::new();
     for (seed, played) in all {
         for what in &played.broken {
@@ -121,8 +143,10 @@
             let planted = planted.map_or(String::new(), |name| format!(" --plant {name}"));
             let kind = wish.kind.and_then(|kind| kind.to_possible_value());
             let kind = kind.map_or(String::new(), |kind| format!(" --kind {}", kind.get_name()));
+            let loss = wish.loss.map_or(String::new(), |loss| format!(" --loss {loss}"));
+            let duties = if wish.duties > 0 { format!(" --duties {}", wish.duties) } else { String::new() };
             let replay = format!(
-                "pinefront-lab accord --seeds {seed}..{} --members {}{kind}{planted}",
+                "pinefront-lab accord --seeds {seed}..{} --members {}{kind}{loss}{duties}{planted}",
                 seed + 1,
                 wish.members
             );
@@ -139,8 +163,17 @@
         virtual_seconds: seconds,
         datagrams_a_second: total(&|played| played.sent as f64) / member_seconds,
         bytes_a_second: total(&|played| played.sent_bytes as f64) / member_seconds,
+        datagrams_a_second_late: total(&|played| played.late.0 as f64) / late,
+        bytes_a_second_late: total(&|played| played.late.1 as f64) / late,
         detected_ms: list(&|played| played.detected_ms.clone()),
         one_view_ms: list(&|played| played.one_view_ms.into_iter().collect()),
+        without_holder_ms: without.into_iter().map(|(how, list)| (how, spread(list))).collect(),
+        duty_changes_an_hour: total(&|played| played.duties.changes as f64)
+            / (wish.duties.max(1) as f64 * seconds)
+            * 3600.0,
+        duty_changes_most_a_minute: all.iter().map(|one| one.1.duties.most_a_minute).max().unwrap_or(0),
+        terms_fallen: all.iter().map(|one| one.1.duties.fallen.len()).sum(),
+        duties_vacant: all.iter().map(|one| one.1.vacant).sum(),
         wrong_doubts_an_hour: total(&|played| played.wrong_doubts as f64) / seconds * 3600.0,
     }
 }
--- a/lab/src/accord/scenario.rs
+++ b/lab/src/accord/scenario.rs
@@ -10,6 +10,8 @@
 const FAULTS_TO: Micros = 24 * SECOND;
 /// After the last fault so long until all must agree.
 pub const SETTLES: Micros = 20 * SECOND;
+/// A calm minute.
+const CALM: Micros = 60 * SECOND;
 
 /// What kind of scenario a seed plays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
@@ -28,6 +30,10 @@
     Halves,
     /// Nothing but lost datagrams, up to 30 %.
     Lossy,
+    /// One is cut off and back again, again and again.
+    Flaps,
+    /// Nothing at all goes wrong, for a minute.
+    Calm,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -52,7 +58,7 @@
 }
 
 impl Scenario {
-    pub fn draw(seed: u64, members: usize, kind: Option<Kind>) -> Self {
+    pub fn draw(seed: u64, members: usize, kind: Option<Kind>, loss: Option<f64>) -> Self {
         let mut chance = Chance::split(seed, "scenario", 0);
         let kinds = [
             Kind::Any,
@@ -63,6 +69,7 @@
             Kind::Leave,
             Kind::Halves,
             Kind::Lossy,
+            Kind::Flaps,
         ];
         let kind = kind.unwrap_or_else(|| kinds[chance.below(kinds.len())]);
         let mut scenario = Self {
@@ -78,9 +85,13 @@
             scenario.deeds.push((at, Deed::Start(member)));
         }
         scenario.faults(&mut chance, members);
+        if let Some(loss) = loss {
+            scenario.ways.troubles.retain(|trouble| trouble.kind != Fault::LinkLossy);
+            scenario.on_all(Fault::LinkLossy, members, loss, 0);
+        }
         scenario.deeds.sort_by_key(|(at, _)| *at);
         let last = scenario.deeds.last().map_or(0, |(at, _)| *at).max(scenario.ways.over());
-        scenario.ends = last.max(FAULTS_FROM) + SETTLES;
+        scenario.ends = last.max(FAULTS_FROM) + if kind == Kind::Calm { CALM } else { SETTLES };
         scenario
     }
 
@@ -157,6 +168,16 @@
                     self.deeds.extend(other.map(|other| (from + 9 * SECOND, Deed::Kill(other))));
                 }
             }
+            Kind::Flaps => {
+                let member = chance.below(members);
+                let mut at = from;
+                for _ in 0..6 + chance.below(6) {
+                    let away = 200_000 + chance.span(3 * SECOND);
+                    self.trouble(Fault::LinkCut, at, at + away, vec![member], 0.0, 0);
+                    at += away + 200_000 + chance.span(2 * SECOND);
+                }
+            }
+            Kind::Calm => {}
             Kind::Lossy => {
                 let loss = [0.05, 0.1, 0.2, 0.3][chance.below(4)];
                 self.on_all(Fault::LinkLossy, members, loss, 0);
--- a/lab/src/accord/tests.rs
+++ b/lab/src/accord/tests.rs
@@ -7,7 +7,7 @@
 use super::*;
 
 fn wish(seeds: std::ops::Range<u64>, planted: Option<Planted>) -> Wish {
-    Wish { seeds, members: 8, planted, kind: None, first_only: planted.is_some() }
+    Wish { seeds, members: 8, planted, kind: None, loss: None, duties: 0, first_only: planted.is_some() }
 }
 
 #[test]
@@ -29,6 +29,15 @@
 
 #[test]
 fn one_seed_is_one_run() {
-    let trace = || clockwork::play(7, 10, Some(Kind::Any), None).trace;
+    let wish = Wish { members: 10, kind: Some(Kind::Any), duties: 20, ..wish(0..1, None) };
+    let trace = || clockwork::play(7, &wish).trace;
     assert_eq!(trace(), trace());
 }
+
+/// No two hold one duty and no act of an older term is taken, whatever fails; and every duty has a holder at the end.
+#[test]
+fn duties_are_held_by_one_at_most() {
+    let found = play(&Wish { members: 10, duties: 30, ..wish(0..24, None) }, &AtomicBool::new(false));
+    assert_eq!(found.broken.first().map(|broken| broken.what.clone()), None);
+    assert!(found.without_holder_ms.values().map(|spread| spread.count).sum::<usize>() > 100);
+}
--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -15,6 +15,7 @@
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
 
+use crate::fleet::duties::DutyLines;
 use crate::http;
 use crate::world::locked;
 
@@ -76,10 +77,12 @@
     pub listen: SocketAddr,
     config: PathBuf,
     /// Its operator file, where the day has one.
-    operator: Option<PathBuf>,
+    pub operator: Option<PathBuf>,
     binary: PathBuf,
     child: Option<Child>,
     lines: Arc<Mutex<VecDeque<String>>>,
+    /// Where lines about duties go, of all balancers.
+    pub duty_lines: DutyLines,
     /// Of processes that have ended.
     used: Used,
     /// Ends that nobody asked for, with its last words.
@@ -109,6 +112,7 @@
             binary: binary.to_owned(),
             child: None,
             lines: Arc::default(),
+            duty_lines: DutyLines::default(),
             used: Used::default(),
             deaths: Vec::new(),
             told_to_end: false,
@@ -134,10 +138,11 @@
                 io::Error::new(problem.kind(), format!("{}: {problem}", self.binary.display()))
             })?;
         if let Some(stderr) = child.stderr.take() {
-            let lines = Arc::clone(&self.lines);
+            let (lines, duty_lines, number) = (Arc::clone(&self.lines), self.duty_lines.clone(), self.number);
             // Ends with the process.
             std::thread::spawn(move || {
                 for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                    duty_lines.take(number, &line);
                     let mut lines = locked(&lines);
                     if lines.len() >= LINES_KEPT {
                         lines.pop_front();
@@ -189,6 +194,7 @@
         self.signal(Signal::KILL);
         if let Some(mut child) = self.child.take() {
             let _ = child.wait();
+            self.duty_lines.died(self.number);
         }
     }
 
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -9,6 +9,7 @@
 
 use crate::clients::{Collected, Tickets};
 use crate::fleet::Known;
+use crate::fleet::duties::DutiesFound;
 
 /// Milliseconds.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -94,6 +95,7 @@
         self.rules_broken_count == 0
             && self.deaths.is_empty()
             && known.is_none_or(|known| known.wrongly_gone == 0 && known.views_agree_after_ms.is_some())
+            && known.and_then(|known| known.duties.as_ref()).is_none_or(DutiesFound::is_sound)
     }
 
     pub fn table(&self) -> String {
@@ -145,6 +147,15 @@
                 "who is away",
                 format!("noticed after {:.0} ms, worst {:.0} of {}", times.p50, times.worst, times.count),
             );
+            let all = crate::accord::spread(known.detected_by_all_ms.clone());
+            if all.count > 0 {
+                let text = format!("after {:.0} ms, worst {:.0} of {}", all.p50, all.worst, all.count);
+                line("noticed by all", text);
+            }
+            if known.flooded > 0 {
+                line("strangers sent", known.flooded.to_string());
+            }
+            line("refuted", format!("{} doubts, also of who had been stopped", known.refuted));
             line(
                 "wrongly gone",
                 format!(
@@ -152,6 +163,30 @@
                     known.wrongly_gone, known.held_gone_while_running
                 ),
             );
+            if let Some(duties) = &known.duties {
+                let times = crate::accord::spread(duties.without_holder_ms.clone());
+                let text = format!(
+                    "{}: {} OVERLAPS, {} old terms taken, {} changes ({} of one in a minute at most), {} vacant",
+                    duties.duties,
+                    duties.overlaps,
+                    duties.old_terms_taken,
+                    duties.changes,
+                    duties.changes_most_a_minute,
+                    duties.vacant
+                );
+                line("duties", text);
+                line(
+                    "without a holder",
+                    format!("{:.0} ms (median), worst {:.0} of {}", times.p50, times.worst, times.count),
+                );
+                for (how, list) in &duties.without_holder_by {
+                    let times = crate::accord::spread(list.clone());
+                    let text =
+                        format!("{how}: {:.0} ms, worst {:.0} of {}", times.p50, times.worst, times.count);
+                    line("", text);
+                }
+                duties.why.iter().for_each(|why| line("", why.clone()));
+            }
             known.why.iter().for_each(|why| line("", why.clone()));
         }
         match self.rules_broken_count {
--- a/lab/src/fleet/drawn.rs
+++ b/lab/src/fleet/drawn.rs
@@ -40,21 +40,36 @@
         if !on_ways {
             hit.push(side[0]);
         }
-        let fault = Fault {
-            kind,
-            at: Span(at),
-            lasts: Span(lasts),
-            servers: None,
-            zone: None,
-            machine: None,
-            part: None,
-            balancers: Some(side),
-            against: None,
-            one_way: kind == Kind::LinkCut && chance.happens(0.4),
-            factor: None,
-            by: (kind == Kind::LinkSlow).then(|| Span(10_000 + chance.span(300_000))),
-            over: Span(0),
-        };
+        let one_way = kind == Kind::LinkCut && chance.happens(0.4);
+        let by = (kind == Kind::LinkSlow).then(|| Span(10_000 + chance.span(300_000)));
+        let fault = Fault { one_way, by, ..among(kind, at, lasts, side) };
         day.faults.push(toml::Spanned::new(0..0, fault));
     }
 }
+
+/// A fault among balancers as a day's file would name it.
+fn among(kind: Kind, at: Micros, lasts: Micros, side: Vec<usize>) -> Fault {
+    Fault {
+        kind,
+        at: Span(at),
+        lasts: Span(lasts),
+        servers: None,
+        zone: None,
+        machine: None,
+        part: None,
+        balancers: Some(side),
+        against: None,
+        one_way: false,
+        factor: None,
+        by: None,
+        over: Span(0),
+    }
+}
+
+/// Loses so much of all that balancers tell one another, all day.
+pub fn lose(day: &mut Day, part: f64) {
+    let all: Vec<usize> = (0..*day.balancers.get_ref()).collect();
+    let lossy = among(Kind::LinkLossy, 0, day.length.get_ref().0, all.clone());
+    let fault = Fault { against: Some(all), factor: Some(part), ..lossy };
+    day.faults.push(toml::Spanned::new(0..0, fault));
+}
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -1,7 +1,9 @@
 //! The rig for several real balancers: a relay on each way between two of them, their views of one another taken down
 //! and judged against the truth, and days drawn from a seed.
 
+pub mod company;
 pub mod drawn;
+pub mod duties;
 pub mod relays;
 pub mod views;
 
@@ -12,6 +14,8 @@
 use pinefront_model::day::Day;
 use serde::Serialize;
 
+use crate::fleet::duties::DutiesFound;
+
 /// What was found of the balancers' knowledge of each other.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Known {
@@ -21,12 +25,32 @@
     pub wrongly_gone: u64,
     /// From each death or stall to each other balancer's holding it for gone.
     pub detected_ms: Vec<f64>,
+    /// From each death or stall until all others that ran held it for gone.
+    pub detected_by_all_ms: Vec<f64>,
+    /// Times that a balancer had to say that it is there: it was doubted wrongly, or had been stopped.
+    pub refuted: u64,
     /// Balancers that ran, were not stopped and were held for gone all the same, each once.
     pub held_gone_while_running: u64,
     pub looks: u64,
     pub relayed: u64,
     pub relay_lost: u64,
+    /// Datagrams that strangers sent.
+    pub flooded: u64,
     pub why: Vec<String>,
+    /// Who held which duty, where the day has any.
+    pub duties: Option<DutiesFound>,
+}
+
+/// Members that vote: the first, which are seeds too.
+const VOTERS: usize = 3;
+
+fn duties(day: &Day) -> String {
+    if day.duties == 0 {
+        return String::new();
+    }
+    let voters: Vec<_> = (0..VOTERS).map(|voter| format!("\"b{voter}\"")).collect();
+    let own: Vec<_> = (0..day.duties).map(|number| format!("\"job-{number}\"")).collect();
+    format!("[duties]\nvoters = [{}]\nown = [{}]\n", voters.join(", "), own.join(", "))
 }
 
 /// Addresses where balancers hear one another, and where each sends to reach another past a relay.
@@ -58,23 +82,24 @@
         Ok(Self { heard_at, via, sockets })
     }
 
-    /// Writes the operator file of one balancer.
-    pub fn operator_file(&self, day: &Day, number: usize, folder: &Path) -> std::io::Result<PathBuf> {
+    /// Writes the operator file of one balancer at the fleet address of that place.
+    pub fn operator_file(
+        &self, day: &Day, number: usize, place: usize, folder: &Path,
+    ) -> std::io::Result<PathBuf> {
         // One for each, all the same: another balancer may be reading its own meanwhile.
         let key = folder.join(format!("b{number}.key"));
         std::fs::write(&key, "a key for the lab's own fleet\n")?;
         let seeds: Vec<_> = self.heard_at.iter().take(SEEDS).map(|seed| format!("\"{seed}\"")).collect();
-        let via: Vec<_> =
-            self.via[number].iter().map(|(to, via)| format!("\"{to}\" = \"{via}\"\n")).collect();
+        let via: Vec<_> = self.via[place].iter().map(|(to, via)| format!("\"{to}\" = \"{via}\"\n")).collect();
         let text = format!(
             "[fleet]\nname = \"lab\"\nkey_file = \"{}\"\nlisten = \"{}\"\nseeds = [{}]\nzone = \"{}\"\n[fleet.via]\n{}",
             key.display(),
-            self.heard_at[number],
+            self.heard_at[place],
             seeds.join(", "),
             day.fleet.zones[number % day.fleet.zones.len()],
             via.concat()
-        );
-        let path = folder.join(format!("b{number}.toml"));
+        ) + &duties(day);
+        let path = folder.join(format!("b{number}-at-{place}.toml"));
         std::fs::write(&path, text)?;
         Ok(path)
     }
--- a/lab/src/fleet/views.rs
+++ b/lab/src/fleet/views.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 
 use pinefront_model::faults::What;
+use pinefront_model::presence::{Held, Presence, Said};
+use pinefront_model::tenures::Tenures;
 use pinefront_model::{Micros, SECOND};
 use serde::Deserialize;
 use tokio::net::TcpStream;
 
 use crate::fleet::Known;
+use crate::fleet::duties::turn;
 use crate::http;
 use crate::world::{World, locked};
 
@@ -28,13 +31,28 @@
     life: String,
     state: String,
     standing: BTreeMap<String, String>,
+    /// Earlier processes of that name that may be serving.
+    earlier: Vec<String>,
 }
 
 #[derive(Debug, Deserialize)]
 struct View {
     life: String,
     may_be_serving: usize,
+    refuted: u64,
     members: Vec<Seen>,
+    duties: Option<SeenDuties>,
+}
+
+#[derive(Debug, Deserialize)]
+struct SeenDuties {
+    all: Vec<SeenDuty>,
+}
+
+#[derive(Debug, Deserialize)]
+struct SeenDuty {
+    name: String,
+    term: Option<String>,
 }
 
 /// What is true of one balancer.
@@ -49,11 +67,19 @@
     /// Since when it is dead or stalled for long, and who has noticed.
     away: Option<Micros>,
     noticed: BTreeSet<usize>,
+    /// Whether all others that ran had noticed.
+    by_all: bool,
     blamed: bool,
+    /// How often it had to say that it is there, its earlier processes included.
+    refuted: u64,
 }
 
 pub struct Views {
     truth: Vec<Truth>,
+    presence: Presence<String>,
+    /// Terms of duties that each process knows, by its life.
+    tenures: Tenures,
+    lives: Vec<String>,
     known: Known,
     /// When the last fault is over, and since when all views are right.
     over: Micros,
@@ -69,7 +95,9 @@
         let over = events.map(|(at, _)| *at).max().unwrap_or(0).max(line.ways.over());
         let truth = vec![Truth { runs: true, ..Truth::default() }; balancers];
         let right = vec![Err("never asked".into()); balancers];
-        Self { truth, known: Known::default(), over, right_since: None, right }
+        let presence = Presence::new(balancers);
+        let (tenures, lives) = (Tenures::default(), Vec::new());
+        Self { truth, presence, tenures, lives, known: Known::default(), over, right_since: None, right }
     }
 
     /// A balancer is about to be killed, stopped, or goes on.
@@ -78,15 +106,20 @@
             What::BalancerKilled(number) => (number, false, false, Some(now)),
             What::BalancerStopped(number) => (number, false, false, None),
             What::BalancerPauses(number) => (number, true, true, (stall_lasts >= LONG_STALL).then_some(now)),
-            What::BalancerGoesOn(number) | What::BalancerStarts(number) => (number, true, false, None),
+            What::BalancerGoesOn(number)
+            | What::BalancerStarts(number)
+            | What::BalancerTakesPlace(number, _) => (number, true, false, None),
             _ => return,
         };
         let Some(truth) = self.truth.get_mut(number) else { return };
-        if !runs || matches!(what, What::BalancerStarts(_)) {
+        if !runs || matches!(what, What::BalancerStarts(_) | What::BalancerTakesPlace(..)) {
             truth.life = None;
+            truth.refuted = 0;
+            self.presence.ends(now, number, !runs && away.is_none());
         }
         (truth.runs, truth.stopped, truth.since, truth.away) = (runs, stopped, now, away);
         truth.noticed.clear();
+        truth.by_all = false;
         self.right.iter_mut().for_each(|right| *right = Err("not asked since".into()));
     }
 
@@ -103,8 +136,33 @@
         if !self.truth[number].runs || asked < self.truth[number].since {
             return;
         }
-        self.truth[number].life.get_or_insert_with(|| view.life.clone());
-        let mut serving = 0;
+        let since = self.truth[number].since;
+        if self.truth[number].life.is_none() {
+            self.truth[number].life = Some(view.life.clone());
+            self.presence.starts(since, number, view.life.clone());
+        }
+        let place = self.lives.iter().position(|life| *life == view.life);
+        let process = place.unwrap_or_else(|| {
+            self.lives.push(view.life.clone());
+            self.lives.len() - 1
+        });
+        for duty in view.duties.iter().flat_map(|duties| &duties.all) {
+            if let Some(turn) = duty.term.as_deref().and_then(turn) {
+                self.tenures.acted(process as u64, &duty.name, turn);
+            }
+        }
+        self.known.refuted += view.refuted.saturating_sub(self.truth[number].refuted);
+        self.truth[number].refuted = view.refuted;
+        let held = |seen: &Seen| {
+            let gone = seen.standing.contains_key("proven_gone");
+            let said = if gone { Said::ProvenGone } else { Said::MayServe };
+            let earlier = seen.earlier.iter().map(|life| Held { life: life.clone(), said: Said::MayServe });
+            [Held { life: seen.life.clone(), said }].into_iter().chain(earlier).collect::<Vec<_>>()
+        };
+        let held: Vec<_> = view.members.iter().flat_map(held).collect();
+        // It counts itself too.
+        let wrong = self.presence.view(number, [asked, now], &held, view.may_be_serving.saturating_sub(1));
+        wrong.into_iter().for_each(|wrong| self.wrong(now, wrong));
         let mut right = Ok(());
         for other in (0..self.truth.len()).filter(|other| *other != number) {
             let seen = view.members.iter().find(|seen| seen.name == format!("b{other}"));
@@ -114,10 +172,6 @@
                 && truth.runs
                 && asked > truth.since
             {
-                serving += 1;
-                if seen.standing.contains_key("proven_gone") {
-                    self.wrong(now, format!("b{number} takes b{other} for proven gone, which serves"));
-                }
                 let blames = seen.state == "gone" && !truth.stopped && now > truth.since + 10 * SECOND;
                 if blames && !truth.blamed {
                     self.truth[other].blamed = true;
@@ -130,6 +184,11 @@
                 && self.truth[other].noticed.insert(number)
             {
                 self.known.detected_ms.push((now - away) as f64 / 1_000.0);
+                let runs = |n: &usize| *n != other && self.truth[*n].runs && !self.truth[*n].stopped;
+                let all = (0..self.truth.len()).filter(runs).all(|n| self.truth[other].noticed.contains(&n));
+                if all && !std::mem::replace(&mut self.truth[other].by_all, true) {
+                    self.known.detected_by_all_ms.push((now - away) as f64 / 1_000.0);
+                }
             }
             let state = seen.map_or("unknown", |seen| seen.state.as_str());
             let fits = match truth.runs && !truth.stopped {
@@ -140,16 +199,17 @@
                 right = Err(format!("b{number} holds b{other} for {state}"));
             }
         }
-        if view.may_be_serving < serving + 1 {
-            let what = format!("b{number} counts {} that may serve of {}", view.may_be_serving, serving + 1);
-            self.wrong(now, what);
-        }
         self.right[number] = right;
         let running = |n: &usize| self.truth[*n].runs && !self.truth[*n].stopped;
         let all = (0..self.truth.len()).filter(running).all(|n| self.right[n].is_ok());
         self.right_since = if all { self.right_since.or(Some(now)) } else { None };
     }
 
+    /// Times that a balancer's greatest known term of a duty fell.
+    pub fn terms_fallen(&self) -> u64 {
+        self.tenures.old_taken.len() as u64
+    }
+
     /// What was found, when the day is over.
     pub fn found(&self) -> Known {
         let mut known = self.known.clone();
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod baseline;
 mod clients;
 mod clock;
+mod explore;
 mod figures;
 mod fleet;
 mod http;
@@ -57,6 +58,8 @@
     Fleet(FleetDay),
     /// Plays the accord of many members on a virtual clock, under faults drawn from seeds
     Accord(AccordOf),
+    /// Goes through every order of events of a few members and one duty, to a depth
+    Explore(Explore),
     /// Plays a day with plain policies as stand-in balancers, to compare with
     Baseline(Compare),
 }
@@ -158,6 +161,9 @@
     /// Faults drawn from each of these seeds, in place of the day's own
     #[arg(long, value_parser = seeds)]
     seeds: Option<std::ops::Range<u64>>,
+    /// Part of all datagrams between balancers that is lost all day, beside the day's faults
+    #[arg(long, value_parser = part)]
+    loss: Option<f64>,
     /// The balancer's program; the one beside this program where none is named
     #[arg(long)]
     binary: Option<PathBuf>,
@@ -175,6 +181,12 @@
     /// One kind of scenario only
     #[arg(long)]
     kind: Option<accord::scenario::Kind>,
+    /// Part of all datagrams that is lost, in place of what each seed says
+    #[arg(long, value_parser = part)]
+    loss: Option<f64>,
+    /// Duties that the members hold one at a time: 200 where no number is given
+    #[arg(long, default_value_t = 0, default_missing_value = "200", num_args = 0..=1)]
+    duties: usize,
     /// Plant a fault, in a lab built with --features planted
     #[arg(long, value_parser = planted)]
     plant: Option<pinefront_accord::Planted>,
@@ -182,6 +194,56 @@
     json: Option<PathBuf>,
 }
 
+#[derive(Args)]
+struct Explore {
+    /// Moves from the start
+    #[arg(long, default_value_t = 7)]
+    depth: u32,
+    /// Walks by chance of 400 moves each beside that
+    #[arg(long, default_value_t = 2_000)]
+    walks: u64,
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=3))]
+    candidates: u64,
+    /// Plant a fault, to see its trace
+    #[arg(long, value_parser = planted_duty)]
+    plant: Option<pinefront_accord::duties::Planted>,
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+fn planted_duty(text: &str) -> Result<pinefront_accord::duties::Planted, String> {
+    let all = pinefront_accord::duties::Planted::ALL;
+    all.iter().find(|(name, _)| *name == text).map(|(_, fault)| *fault).ok_or_else(|| {
+        format!("is none of {}", all.iter().map(|(name, _)| *name).collect::<Vec<_>>().join(", "))
+    })
+}
+
+fn explore(options: &Explore, over: &Arc<AtomicBool>) -> Result<(), Failure> {
+    let wish = explore::Wish {
+        depth: options.depth,
+        walks: options.walks,
+        candidates: options.candidates as usize,
+        planted: options.plant,
+        over: Arc::clone(over),
+    };
+    let found = explore::explore(&wish);
+    println!(
+        "{} states to depth {}{}, {} walks of {} moves in all: {}",
+        found.states,
+        found.depth,
+        if found.whole { "" } else { " (not all: too many)" },
+        found.walks,
+        found.walk_steps,
+        if found.broken.is_empty() { "no promise broken" } else { "BROKEN" }
+    );
+    found.broken.iter().for_each(|broken| println!("  {broken}"));
+    write_json(options.json.as_deref(), &found)?;
+    match found.broken.is_empty() {
+        true => Ok(()),
+        false => Err(Failure::Failed("a promise was broken; see above".into())),
+    }
+}
+
 fn seeds(text: &str) -> Result<std::ops::Range<u64>, String> {
     let (from, to) = text.split_once("..").ok_or("is no range such as 0..500")?;
     let number = |text: &str| text.parse::<u64>().map_err(|problem| problem.to_string());
@@ -189,6 +251,11 @@
     if range.is_empty() { Err("holds no seed".into()) } else { Ok(range) }
 }
 
+fn part(text: &str) -> Result<f64, String> {
+    let part = text.parse::<f64>().map_err(|problem| problem.to_string())?;
+    if (0.0..1.0).contains(&part) { Ok(part) } else { Err("must be from 0 up to 1".into()) }
+}
+
 fn planted(text: &str) -> Result<pinefront_accord::Planted, String> {
     let all = pinefront_accord::Planted::ALL;
     let known = all.iter().find(|(name, _)| *name == text);
@@ -248,6 +315,9 @@
     binary: Vec<PathBuf>,
     #[arg(long, default_value_t = 2)]
     threads: usize,
+    /// Without an operator file and then in fleets of so many members, before the first number of servers and clients
+    #[arg(long, value_delimiter = ',')]
+    fleet: Vec<usize>,
     #[arg(long)]
     json: Option<PathBuf>,
 }
@@ -398,6 +468,9 @@
         check::set_balancers(&mut day, balancers)
             .map_err(|reason| Failure::Wrong(format!("--balancers: {reason}")))?;
     }
+    if let Some(loss) = options.loss {
+        fleet::drawn::lose(&mut day, loss);
+    }
     let who = Who::Binary(options.binary.clone().unwrap_or_else(balancers::own_binary));
     let wishes = Wishes { live: true, by_hand: false, fleet: true, over: Arc::clone(over) };
     let Some(seeds) = options.seeds.clone() else {
@@ -409,6 +482,7 @@
     for seed in seeds.take_while(|_| !over.load(Ordering::Relaxed)) {
         let mut day = day.clone();
         fleet::drawn::draw(&mut day, seed);
+        options.loss.into_iter().for_each(|loss| fleet::drawn::lose(&mut day, loss));
         let figures = played(&day, seed, &who, &wishes)?;
         if !figures.is_sound() {
             println!("again: pinefront-lab fleet {} --seeds {seed}..{}", options.day.display(), seed + 1);
@@ -425,6 +499,8 @@
         members: options.members as usize,
         planted: options.plant,
         kind: options.kind,
+        loss: options.loss,
+        duties: options.duties,
         first_only: false,
     };
     let found = accord::play(&wish, over);
@@ -436,8 +512,11 @@
         found.seeds, found.members, found.virtual_seconds, found.broken_count
     );
     println!(
-        "a member sends {:.1} datagrams and {:.0} bytes a second",
-        found.datagrams_a_second, found.bytes_a_second
+        "a member sends {:.1} datagrams and {:.0} bytes a second, {:.1} and {:.0} in the last ten",
+        found.datagrams_a_second,
+        found.bytes_a_second,
+        found.datagrams_a_second_late,
+        found.bytes_a_second_late
     );
     for (what, spread) in [("a death is known", &found.detected_ms), ("one view after", &found.one_view_ms)] {
         println!(
@@ -446,6 +525,21 @@
         );
     }
     println!("wrong doubts an hour: {:.1}", found.wrong_doubts_an_hour);
+    if options.duties > 0 {
+        for (how, spread) in &found.without_holder_ms {
+            println!(
+                "a duty {how}: without a holder for {:.0} ms (median), p99 {:.0}, worst {:.0} of {}",
+                spread.p50, spread.p99, spread.worst, spread.count
+            );
+        }
+        println!(
+            "a duty changes hands {:.1} times an hour, {} times in a minute at most; {} vacant at an end, {} terms fell",
+            found.duty_changes_an_hour,
+            found.duty_changes_most_a_minute,
+            found.duties_vacant,
+            found.terms_fallen
+        );
+    }
     write_json(options.json.as_deref(), &found)?;
     match found.broken_count {
         0 => Ok(()),
@@ -512,23 +606,39 @@
         let reason = "--rate must be over 0 and at most 1000000, --servers, --clients and --for over 0";
         return Err(Failure::Wrong(reason.into()));
     }
+    let wishes = |binary: &PathBuf, members| overhead::Wishes {
+        binary: binary.clone(),
+        rate: options.rate,
+        lasts: options.lasts,
+        work: options.work,
+        threads: options.threads,
+        members,
+        over: Arc::clone(over),
+    };
+    if let (false, [servers, ..], [clients, ..]) =
+        (options.fleet.is_empty(), &*options.servers, &*options.clients)
+    {
+        println!("{}", overhead::FLEET_HEAD);
+        let mut points = Vec::new();
+        for members in [None].into_iter().chain(options.fleet.iter().copied().map(Some)) {
+            if !over.load(Ordering::Relaxed) {
+                let point = overhead::point(*servers, *clients, &wishes(&binaries[0], members));
+                points.push(point.map_err(Failure::Failed)?);
+                points.last().into_iter().for_each(|point| println!("{}", point.fleet_row()));
+            }
+        }
+        return write_json(options.json.as_deref(), &serde_json::json!({"points": points}));
+    }
     let mut all: Vec<Vec<overhead::Point>> = binaries.iter().map(|_| Vec::new()).collect();
     println!("{}", overhead::TABLE_HEAD);
     for &servers in &options.servers {
         for &clients in &options.clients {
             for (binary, points) in binaries.iter().zip(&mut all) {
-                let wishes = overhead::Wishes {
-                    binary: binary.clone(),
-                    rate: options.rate,
-                    lasts: options.lasts,
-                    work: options.work,
-                    threads: options.threads,
-                    over: Arc::clone(over),
-                };
                 if over.load(Ordering::Relaxed) {
                     continue;
                 }
-                let point = overhead::point(servers, clients, &wishes).map_err(Failure::Failed)?;
+                let point =
+                    overhead::point(servers, clients, &wishes(binary, None)).map_err(Failure::Failed)?;
                 println!("{}", point.row());
                 points.push(point);
             }
@@ -608,6 +718,7 @@
         Command::Load(options) => load_at(options, &over),
         Command::Overhead(options) => overhead(options, &over),
         Command::Fleet(options) => fleet_day(options, &over),
+        Command::Explore(options) => explore(options, &over),
         Command::Accord(options) => accord_of(options, &over),
         Command::Baseline(options) => compare(options, &over),
     };
--- a/lab/src/overhead.rs
+++ b/lab/src/overhead.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::balancers::{Balancer, wait_ready};
+use crate::fleet::company::Company;
 use crate::load::{Found, Plan, load};
 use crate::play::{Folder, runtime};
 use crate::world::{World, locked};
@@ -17,6 +18,8 @@
 
 /// Tickets before those that count: connections come about, and the balancer learns the fleet.
 const WARMS: Duration = Duration::from_secs(2);
+/// How long members of a fleet take to know one another.
+const MEETS: Duration = Duration::from_secs(8);
 
 #[derive(Clone, Debug, Serialize)]
 pub struct Point {
@@ -35,6 +38,10 @@
     /// Tickets a second that one balancer served when each client sent its next at once.
     pub highest_rate: f64,
     pub memory_mb: f64,
+    /// Members of its fleet, itself included; none where it has no operator file.
+    pub members: Option<usize>,
+    /// Of one core, while no ticket comes.
+    pub cpu_part_at_rest: f64,
     pub through: Found,
     pub valid: bool,
 }
@@ -47,6 +54,8 @@
     /// How long a server takes to answer.
     pub work: Duration,
     pub threads: usize,
+    /// Members of its fleet, itself included.
+    pub members: Option<usize>,
     pub over: Arc<AtomicBool>,
 }
 
@@ -98,7 +107,11 @@
         let discovery = stand::discovery(&world, 0).await.map_err(|problem| problem.to_string())?;
         Ok::<_, String>((addresses, discovery))
     })?;
-    let child = Balancer::new(&world.day, 1, 0, &wishes.binary, &folder.0, discovery, None);
+    let company = wishes.members.map(|members| Company::start(members.saturating_sub(1))).transpose();
+    let company = company.map_err(|problem| format!("cannot start the fleet's other members: {problem}"))?;
+    let operator = company.as_ref().map(|company| company.operator_file(&folder.0)).transpose();
+    let operator = operator.map_err(|problem| problem.to_string())?;
+    let child = Balancer::new(&world.day, 1, 0, &wishes.binary, &folder.0, discovery, operator);
     let mut child = child.map_err(|problem| problem.to_string())?;
     child.start().map_err(|problem| problem.to_string())?;
     let listen = child.listen;
@@ -120,6 +133,12 @@
     let direct = load(plan(&addresses, rate, lasts), over)?;
     load(plan(&[listen], rate, WARMS), over)?;
     let used = || locked(&children)[0].used();
+    if wishes.members.is_some() {
+        std::thread::sleep(MEETS);
+    }
+    let rests = used();
+    std::thread::sleep(lasts);
+    let cpu_part_at_rest = (used().cpu_us - rests.cpu_us) as f64 / lasts.as_micros().max(1) as f64;
     let before = used();
     let through = load(plan(&[listen], rate, lasts), over)?;
     let after = used();
@@ -143,6 +162,8 @@
         cpu_us_per_ticket: (after.cpu_us - before.cpu_us) as f64 / through.asked.max(1) as f64,
         highest_rate: highest.rate_succeeded,
         memory_mb,
+        members: wishes.members,
+        cpu_part_at_rest,
         valid: direct.valid && through.valid,
         through,
     })
@@ -150,8 +171,25 @@
 
 pub const TABLE_HEAD: &str = "| servers | clients | p50 direct, ms | p50 through | ratio | p99 direct | p99 through | ratio | CPU a ticket, us | highest rate |\n\
                               | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
+pub const FLEET_HEAD: &str = "| members | core at rest | CPU a ticket, us | memory, MB | p50 through, ms | p99 through | highest rate |\n\
+                              | --- | --- | --- | --- | --- | --- | --- |";
 
 impl Point {
+    /// A row of the table that compares fleets of several sizes.
+    pub fn fleet_row(&self) -> String {
+        format!(
+            "| {} | {:.2} % | {:.1} | {:.1} | {:.2} | {:.2} | {:.0} |{}",
+            self.members.map_or("no operator file".into(), |members| members.to_string()),
+            100.0 * self.cpu_part_at_rest,
+            self.cpu_us_per_ticket,
+            self.memory_mb,
+            self.through_p50_ms,
+            self.through_p99_ms,
+            self.highest_rate,
+            if self.valid { "" } else { " (invalid: the load was late)" }
+        )
+    }
+
     /// A row of the table, which is Markdown.
     pub fn row(&self) -> String {
         format!(
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -19,7 +19,8 @@
 use crate::baseline::{self, Policy};
 use crate::clients::{Load, worker};
 use crate::figures::Figures;
-use crate::fleet::relays::{Relayed, relay};
+use crate::fleet::duties::{DutyLines, machine_now};
+use crate::fleet::relays::{Relayed, flood, relay};
 use crate::fleet::views::{Views, watch};
 use crate::fleet::{Addresses, Known};
 use crate::pace::{self, pace};
@@ -153,14 +154,18 @@
 struct Balancing {
     children: Arc<Mutex<Vec<Balancer>>>,
     addresses: Vec<SocketAddr>,
+    /// Where the balancers of a fleet hear one another.
+    hear: Option<Addresses>,
     relayed: Arc<Relayed>,
-    _folder: Folder,
+    duty_lines: DutyLines,
+    folder: Folder,
 }
 
 async fn start_balancers(world: &Arc<World>, who: &Who, fleet: bool) -> Result<Balancing, String> {
     let folder = Folder::new().map_err(|problem| format!("cannot make a folder for this run: {problem}"))?;
     let children = Arc::new(Mutex::new(Vec::new()));
     let (mut addresses, relayed) = (Vec::new(), Arc::new(Relayed::default()));
+    let duty_lines = DutyLines::default();
     let mut hear = match fleet {
         true => {
             Some(Addresses::new(*world.day.balancers.get_ref()).map_err(|p| format!("no addresses: {p}"))?)
@@ -173,6 +178,9 @@
         relay(world, from, to, socket, heard_at, &relayed)
             .map_err(|problem| format!("cannot relay between balancers: {problem}"))?;
     }
+    if let Some(hear) = &hear {
+        flood(world, &hear.heard_at, &relayed).map_err(|problem| format!("no strangers: {problem}"))?;
+    }
     for number in 0..*world.day.balancers.get_ref() {
         let discovery = stand::discovery(world, number)
             .await
@@ -184,13 +192,15 @@
                     .push(address.map_err(|problem| format!("cannot start a stand-in balancer: {problem}"))?);
             }
             Who::Binary(binary) => {
-                let operator = hear.as_ref().map(|hear| hear.operator_file(&world.day, number, &folder.0));
+                let operator =
+                    hear.as_ref().map(|hear| hear.operator_file(&world.day, number, number, &folder.0));
                 let operator =
                     operator.transpose().map_err(|problem| format!("no operator file: {problem}"))?;
                 let child =
                     Balancer::new(&world.day, world.seed, number, binary, &folder.0, discovery, operator);
                 let mut child =
                     child.map_err(|problem| format!("cannot set up balancer {number}: {problem}"))?;
+                child.duty_lines = duty_lines.clone();
                 child.start().map_err(|problem| format!("cannot start a balancer: {problem}"))?;
                 addresses.push(child.listen);
                 locked(&children).push(child);
@@ -201,7 +211,7 @@
     for number in 0..count {
         wait_ready(&children, number).await?;
     }
-    Ok(Balancing { children, addresses, relayed, _folder: folder })
+    Ok(Balancing { children, addresses, hear, relayed, duty_lines, folder })
 }
 
 fn hear_at(hear: Option<&Addresses>, to: usize) -> Result<SocketAddr, String> {
@@ -227,7 +237,7 @@
             }
             continue;
         }
-        if !matches!(what, What::BalancerStarts(_)) {
+        if !matches!(what, What::BalancerStarts(_) | What::BalancerTakesPlace(..)) {
             locked(&views).happens(now, what, 0);
         }
         let views = Arc::clone(&views);
@@ -250,7 +260,7 @@
                     tokio::time::sleep(STOP_SEEN).await;
                     load.front.set(balancer, false);
                 }
-                What::BalancerStarts(balancer) => {
+                What::BalancerStarts(balancer) | What::BalancerTakesPlace(balancer, _) => {
                     let started = match locked(&children).get_mut(balancer) {
                         Some(child) => {
                             locked(&views).happens(load.world.now(), what, 0);
@@ -259,6 +269,12 @@
                                 load.world.note(load.world.now(), Seen::Killed { balancer });
                                 child.kill();
                             }
+                            if let What::BalancerTakesPlace(_, place) = what {
+                                child.operator = child
+                                    .operator
+                                    .as_ref()
+                                    .map(|file| file.with_file_name(format!("b{balancer}-at-{place}.toml")));
+                            }
                             child.start()
                         }
                         None => Ok(()),
@@ -294,6 +310,13 @@
         start_servers(&world).await?;
         start_balancers(&world, who, wishes.fleet).await
     })?;
+    // Who takes another's place finds its file there.
+    for (_, what) in &world.line().events {
+        if let (What::BalancerTakesPlace(number, place), Some(hear)) = (what, &balancing.hear) {
+            hear.operator_file(&world.day, *number, *place, &balancing.folder.0)
+                .map_err(|problem| format!("no operator file: {problem}"))?;
+        }
+    }
     let views = Arc::new(Mutex::new(Views::new(&world, balancing.addresses.len())));
     for (number, address) in balancing.addresses.iter().enumerate().filter(|_| wishes.fleet) {
         runtime.spawn(watch(Arc::clone(&world), Arc::clone(&views), number, *address));
@@ -310,9 +333,11 @@
     runtime.spawn(balancer_events(Arc::clone(&load), children, judged, seen));
     let dropped = carry_load(&load, &balancing, wishes)?;
     std::thread::sleep(RUNS_OUT);
-    let known = wishes.fleet.then(|| Known {
+    let over_at = machine_now();
+    let mut known = wishes.fleet.then(|| Known {
         relayed: balancing.relayed.passed.load(Ordering::Relaxed),
         relay_lost: balancing.relayed.lost.load(Ordering::Relaxed),
+        flooded: balancing.relayed.flooded.load(Ordering::Relaxed),
         ..locked(&views).found()
     });
     locked(&world.ledger).finish(world.now());
@@ -324,6 +349,11 @@
         child.end();
         deaths.append(&mut child.deaths);
     }
+    if let Some(known) = known.as_mut().filter(|_| day.duties > 0) {
+        // The readers of the processes' logs end with these.
+        std::thread::sleep(RUNS_OUT);
+        known.duties = Some(balancing.duty_lines.found(over_at, locked(&views).terms_fallen()));
+    }
     runtime.shutdown_background();
     let collected = locked(&load.collected);
     let sends: Vec<u64> = world.stands().iter().map(|stand| stand.sends.load(Ordering::Relaxed)).collect();
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -283,6 +283,7 @@
             What::BalancerKilled(_)
             | What::BalancerStopped(_)
             | What::BalancerStarts(_)
+            | What::BalancerTakesPlace(..)
             | What::BalancerPauses(_)
             | What::BalancerGoesOn(_) => Vec::new(),
         }
--- a/model/src/check.rs
+++ b/model/src/check.rs
@@ -334,7 +334,9 @@
                     }
                     away.push(*number);
                 }
-                faults::What::BalancerStarts(number) => away.retain(|gone| gone != number),
+                faults::What::BalancerStarts(number) | faults::What::BalancerTakesPlace(number, _) => {
+                    away.retain(|gone| gone != number)
+                }
                 _ => {}
             }
         }
--- a/model/src/day.rs
+++ b/model/src/day.rs
@@ -33,6 +33,9 @@
     /// How many balancers the traffic is dealt out among.
     #[serde(default = "two")]
     pub balancers: Spanned<usize>,
+    /// Duties that the balancers of a fleet hold, one at a time.
+    #[serde(default)]
+    pub duties: usize,
     #[serde(default)]
     pub rules: Rules,
     #[serde(default)]
@@ -306,6 +309,8 @@
     BalancerStopped,
     /// Balancers are not run for the span (SIGSTOP), then go on.
     BalancerStalled,
+    /// Balancers are killed, and started again at the end, each at the fleet address of the next one named.
+    BalancerSwapped,
     /// Balancers are not run for `factor` of each tenth of a second: slow, not dead.
     BalancerHurt,
     /// Nothing passes between the balancers named and those of `against`, or all others.
@@ -318,6 +323,8 @@
     LinkRepeats,
     /// In `factor` of it a bit is turned.
     LinkSpoils,
+    /// Strangers send the balancers named `factor` datagrams a second: noise, what was sent before, and that spoilt.
+    LinkFlood,
 }
 
 /// One fault in the day's timeline. Which servers: by number, zone, machine type, part of the fleet, or all.
--- a/model/src/faults.rs
+++ b/model/src/faults.rs
@@ -40,6 +40,8 @@
     BalancerKilled(usize),
     BalancerStopped(usize),
     BalancerStarts(usize),
+    /// It starts at the fleet address that the other had at first.
+    BalancerTakesPlace(usize, usize),
     /// It is not run until it goes on.
     BalancerPauses(usize),
     BalancerGoesOn(usize),
@@ -52,6 +54,7 @@
             Self::BalancerKilled(number)
             | Self::BalancerStopped(number)
             | Self::BalancerStarts(number)
+            | Self::BalancerTakesPlace(number, _)
             | Self::BalancerPauses(number)
             | Self::BalancerGoesOn(number) => Some(number),
             _ => None,
@@ -91,14 +94,23 @@
     pub fn hits_ways(self) -> bool {
         matches!(
             self,
-            Self::LinkCut | Self::LinkLossy | Self::LinkSlow | Self::LinkRepeats | Self::LinkSpoils
+            Self::LinkCut
+                | Self::LinkLossy
+                | Self::LinkSlow
+                | Self::LinkRepeats
+                | Self::LinkSpoils
+                | Self::LinkFlood
         )
     }
 
     pub fn hits_balancers(self) -> bool {
         matches!(
             self,
-            Self::BalancerKilled | Self::BalancerStopped | Self::BalancerStalled | Self::BalancerHurt
+            Self::BalancerKilled
+                | Self::BalancerStopped
+                | Self::BalancerStalled
+                | Self::BalancerHurt
+                | Self::BalancerSwapped
         )
     }
 
@@ -114,6 +126,7 @@
             Self::Slow => Some((3.0, 1.0, 1000.0)),
             Self::Errors | Self::Spoilt | Self::Reset | Self::Lost => Some((1.0, 0.0, 1.0)),
             Self::LinkLossy | Self::LinkRepeats | Self::LinkSpoils => Some((0.3, 0.0, 1.0)),
+            Self::LinkFlood => Some((10_000.0, 1.0, 50_000.0)),
             Self::BalancerHurt => Some((0.5, 0.0, 0.9)),
             Self::Burst => Some((2.0, 0.0, 100.0)),
             Self::Grow => Some((1.0, 0.0, 100.0)),
@@ -172,7 +185,7 @@
         } else if fault.kind.hits_balancers() {
             let named = fault.balancers.clone().unwrap_or_else(|| vec![0]);
             let each = fault.over.0 / named.len().max(1) as u64;
-            for (turn, balancer) in named.into_iter().enumerate() {
+            for (turn, &balancer) in named.iter().enumerate() {
                 let from = from + turn as u64 * each;
                 let to = from + lasts;
                 let (goes, comes) = match fault.kind {
@@ -182,6 +195,10 @@
                     Kind::BalancerStalled | Kind::BalancerHurt => {
                         (What::BalancerPauses(balancer), What::BalancerGoesOn(balancer))
                     }
+                    Kind::BalancerSwapped => {
+                        let next = named[(turn + 1) % named.len()];
+                        (What::BalancerKilled(balancer), What::BalancerTakesPlace(balancer, next))
+                    }
                     _ => (What::BalancerKilled(balancer), What::BalancerStarts(balancer)),
                 };
                 let hurt = fault.kind == Kind::BalancerHurt;
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -11,8 +11,10 @@
 pub mod faults;
 pub mod fleet;
 pub mod judge;
+pub mod presence;
 pub mod server;
 pub mod service;
+pub mod tenures;
 pub mod traffic;
 pub mod ways;
 
--- a/node/src/fleet/carrier.rs
+++ b/node/src/fleet/carrier.rs
@@ -8,6 +8,8 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction};
+use pinefront_accord::duties::DutyEvent;
+use pinefront_accord::duties::term::Term;
 use pinefront_accord::envelope::DATAGRAM_MOST;
 use pinefront_accord::membership::table::Event;
 use pinefront_accord::{Accord, Micros};
@@ -28,6 +30,18 @@
     now.tv_sec as Micros * 1_000_000 + now.tv_nsec as Micros / 1_000
 }
 
+/// How one duty stands as far as this process knows.
+pub struct DutyState {
+    /// Its term here, for how long it has been held and how long it may be acted on, in microseconds.
+    pub held: Option<(Term, Micros, Micros)>,
+    pub known: Option<Term>,
+}
+
+/// A term as others may compare it: it rises with each turn, as text too.
+pub fn term_text(term: Term) -> String {
+    format!("{:016x}-{:016x}", term.number, term.life)
+}
+
 /// This balancer's part in its fleet.
 pub struct Fleet {
     pub accord: Accord,
@@ -53,7 +67,10 @@
         terms.part.born = born.as_micros() as u64;
         // Processes of one file would else draw alike, and a restarted one as before.
         let seed = seed ^ terms.part.born ^ u64::from(std::process::id()).rotate_left(32);
-        let accord = Accord::new(terms.part.clone(), terms.key.clone(), seed, now());
+        let mut accord = Accord::new(terms.part.clone(), terms.key.clone(), seed, now());
+        if let Some((duty_terms, duties)) = &terms.duties {
+            accord.take_duties(now(), duty_terms.clone(), duties.clone());
+        }
         info!(log, "in the fleet"; "fleet" => &terms.part.fleet, "member" => &terms.part.name,
             "address" => %terms.part.address, "seeds" => terms.part.seeds.len());
         let fleet = Rc::new(RefCell::new(Self { accord, terms, socket, log: log.clone(), unsent: 0 }));
@@ -112,7 +129,13 @@
             ("fleet.zone", old.part.zone != new.part.zone),
         ];
         self.accord.renew(&new.part, new.key.clone());
-        self.terms.via = new.via;
+        match &new.duties {
+            Some((duty_terms, duties)) => {
+                self.accord.take_duties(now(), duty_terms.clone(), duties.clone());
+            }
+            None => self.accord.leave_duties(now()),
+        }
+        (self.terms.via, self.terms.duties) = (new.via, new.duties);
         otherwise.into_iter().filter(|field| field.1).map(|field| field.0).collect()
     }
 
@@ -127,6 +150,40 @@
         for event in self.accord.take_events() {
             self.tell(&event);
         }
+        for event in self.accord.take_duty_events() {
+            self.tell_duty(&event);
+        }
+    }
+
+    /// A duty's state here, for whoever acts in its name: nothing where no file names it.
+    pub fn duty(&self, name: &str) -> Option<DutyState> {
+        let (duties, at) = (self.accord.duties()?, now());
+        let duty = duties.wanted().find(|duty| *duty.name == *name)?;
+        let held = duties.held(at).find(|held| held.0.id == duty.id);
+        Some(DutyState {
+            held: held.map(|(_, term, from, until)| (term, at - from.min(at), until - at)),
+            known: duties.known(duty.id),
+        })
+    }
+
+    fn tell_duty(&self, event: &DutyEvent) {
+        let log = &self.log;
+        match event {
+            DutyEvent::Taken { duty, term, .. } => {
+                info!(log, "duty taken"; "duty" => &**duty, "term" => term_text(*term), "at_us" => now());
+            }
+            DutyEvent::Lost { duty, term, until, why } => {
+                info!(log, "duty lost"; "duty" => &**duty, "term" => term_text(*term),
+                    "until_us" => until, "why" => why.word());
+            }
+            DutyEvent::NoMajority => warn!(log, "no majority of voters answers, duties rest"),
+            DutyEvent::Majority => info!(log, "a majority of voters answers"),
+            DutyEvent::VotersDiffer(name) => {
+                warn!(log, "a member has other voters in its file"; "member" => &**name);
+            }
+            // What is announced has no body; nothing else is acted on yet.
+            DutyEvent::Acted { .. } => {}
+        }
     }
 
     fn tell(&self, event: &Event) {
@@ -149,6 +206,9 @@
             Event::NameTaken => {
                 warn!(log, "another process bears our name"; "member" => &self.terms.part.name);
             }
+            Event::StruckHeard(name) => {
+                warn!(log, "struck and heard all the same, counts again"; "member" => &**name);
+            }
             Event::TableFull => warn!(log, "no room for a further member"),
         }
     }
--- a/node/src/fleet/carrier/tests.rs
+++ b/node/src/fleet/carrier/tests.rs
@@ -22,9 +22,10 @@
         probe_every: Part::PROBE_EVERY,
         answer_within: Part::ANSWER_WITHIN,
         doubt_least: Part::DOUBT_LEAST,
+        struck: Default::default(),
     };
     let key = Key::new(b"0123456789abcdef").unwrap();
-    let terms = FleetTerms { listen: free, part, key, via: Default::default() };
+    let terms = FleetTerms { listen: free, part, key, duties: None, via: Default::default() };
     let log = Logger::root(slog::Discard, slog::o!());
     Fleet::open(&event_loop.handle(), terms, 1, &log).unwrap()
 }
--- a/node/src/fleet/operator.rs
+++ b/node/src/fleet/operator.rs
@@ -1,12 +1,17 @@
 //! The operator file: what an installation switches on beside the balancer's own configuration. TOML, a table for each
 //! subsystem; unknown fields are refused, and each problem names file, line and field.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::rc::Rc;
 
-use pinefront_accord::envelope::Key;
+use pinefront_accord::duties::{
+    DUTIES_MOST, Duty, DutyTerms, LEASE_LEAST, LEASE_MOST, LEASE_USUAL, VOTERS_MOST,
+};
+use pinefront_accord::envelope::{Key, Life};
 use pinefront_accord::frames::{NAME_MOST, is_name};
+use pinefront_accord::membership::table::MEMBERS_MOST;
 use pinefront_accord::{Micros, Part};
 use serde::Deserialize;
 use toml::Spanned;
@@ -16,6 +21,8 @@
 
 /// Seeds at most: a file that names more is a slip of the pen.
 const SEEDS_MOST: usize = 64;
+/// Processes struck at most: as many as a table holds.
+const STRUCK_MOST: usize = MEMBERS_MOST;
 /// Shortest and longest spans that make sense between processes.
 const SPANS: (Micros, Micros) = (5_000, 60_000_000);
 
@@ -24,6 +31,7 @@
 #[serde(deny_unknown_fields)]
 struct File {
     fleet: Spanned<FleetTable>,
+    duties: Option<Spanned<DutiesTable>>,
 }
 
 /// `[fleet]`: which fleet, and how its members reach one another.
@@ -42,14 +50,28 @@
     answer_within: Option<Spanned<String>>,
     doubt_least: Option<Spanned<String>>,
     #[serde(default)]
+    struck: Vec<Spanned<String>>,
+    #[serde(default)]
     via: BTreeMap<Spanned<String>, Spanned<String>>,
 }
 
+/// `[duties]`: who votes on what only one member does at a time, and duties of the operators' own.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DutiesTable {
+    voters: Spanned<Vec<Spanned<String>>>,
+    lease: Option<Spanned<String>>,
+    #[serde(default)]
+    own: Vec<Spanned<String>>,
+}
+
 /// What the operator file says of the fleet.
 pub struct FleetTerms {
     pub listen: SocketAddr,
     pub part: Part,
     pub key: Key,
+    /// Where it names voters.
+    pub duties: Option<(DutyTerms, Vec<Duty>)>,
     /// For members reached at another address than the one they tell: where to send instead.
     pub via: BTreeMap<SocketAddr, SocketAddr>,
 }
@@ -107,6 +129,49 @@
         }
     }
 
+    /// A process that the operators know to have ended: its name and its life, as /fleet shows them.
+    fn struck(&self, value: &Spanned<String>) -> Result<(Rc<str>, Life), String> {
+        let field = "fleet.struck";
+        let Some((name, life)) = value.get_ref().split_once(' ').filter(|(name, _)| is_name(name)) else {
+            return self.wrong(value.span(), field, "wants a name and a life, as /fleet shows them");
+        };
+        match life.parse() {
+            Ok(life) => Ok((name.into(), life)),
+            Err(problem) => self.wrong(value.span(), field, format!("'{}' {problem}", life.escape_debug())),
+        }
+    }
+
+    fn duties(&self, table: &DutiesTable) -> Result<(DutyTerms, Vec<Duty>), String> {
+        let mut voters: Vec<Rc<str>> = Vec::new();
+        for value in table.voters.get_ref() {
+            let voter: Rc<str> = self.word(value, "duties.voters")?.into();
+            if voters.contains(&voter) {
+                return self.wrong(value.span(), "duties.voters", format!("names {voter} twice"));
+            }
+            voters.push(voter);
+        }
+        if voters.len().is_multiple_of(2) || voters.len() > VOTERS_MOST {
+            let reason =
+                format!("names {} members: 1, 3, 5 or {VOTERS_MOST} can have a majority", voters.len());
+            return self.wrong(table.voters.span(), "duties.voters", reason);
+        }
+        let lease = self.span(&table.lease, "duties.lease", LEASE_USUAL)?;
+        if let Some(value) = table.lease.as_ref().filter(|_| !(LEASE_LEAST..=LEASE_MOST).contains(&lease)) {
+            let reason = format!("'{}' is no span from 200ms to 2s", value.get_ref());
+            return self.wrong(value.span(), "duties.lease", reason);
+        }
+        let mut duties: Vec<Duty> = Vec::new();
+        for value in &table.own {
+            let duty = Duty::new(&self.word(value, "duties.own")?, None);
+            if duties.iter().any(|known| known.id == duty.id) || duties.len() >= DUTIES_MOST {
+                let reason = format!("names '{}' twice, or more than {DUTIES_MOST} duties", duty.name);
+                return self.wrong(value.span(), "duties.own", reason);
+            }
+            duties.push(duty);
+        }
+        Ok((DutyTerms { voters, lease }, duties))
+    }
+
     fn terms(&self, name: &str, zone: &str) -> Result<FleetTerms, String> {
         let file: File = match toml::from_str(self.text) {
             Ok(file) => file,
@@ -134,6 +199,11 @@
         }
         let seeds: Result<_, _> =
             table.seeds.iter().map(|seed| self.reachable(seed, "fleet.seeds")).collect();
+        if table.struck.len() > STRUCK_MOST {
+            let reason = format!("names {} of {STRUCK_MOST} at most", table.struck.len());
+            return self.wrong(table.struck[STRUCK_MOST].span(), "fleet.struck", reason);
+        }
+        let struck: Result<BTreeSet<_>, _> = table.struck.iter().map(|one| self.struck(one)).collect();
         let mut via = BTreeMap::new();
         for (told, used) in &table.via {
             via.insert(self.address(told, "fleet.via")?, self.reachable(used, "fleet.via")?);
@@ -152,6 +222,7 @@
             probe_every: self.span(&table.probe_every, "fleet.probe_every", Part::PROBE_EVERY)?,
             answer_within: self.span(&table.answer_within, "fleet.answer_within", Part::ANSWER_WITHIN)?,
             doubt_least: self.span(&table.doubt_least, "fleet.doubt_least", Part::DOUBT_LEAST)?,
+            struck: struck?,
         };
         if part.answer_within * 2 > part.probe_every {
             let at = table.answer_within.as_ref().or(table.probe_every.as_ref());
@@ -159,11 +230,12 @@
             let reason = "must be at most half of fleet.probe_every: there are two tries in it";
             return self.wrong(at, "fleet.answer_within", reason);
         }
+        let duties = file.duties.as_ref().map(|table| self.duties(table.get_ref())).transpose()?;
         let path = table.key_file.get_ref();
         let key = std::fs::read(path).map_err(|problem| problem.to_string());
         let key = key.and_then(|bytes| Key::new(&bytes).map_err(|problem| problem.to_string()));
         match key {
-            Ok(key) => Ok(FleetTerms { listen, part, key, via }),
+            Ok(key) => Ok(FleetTerms { listen, part, key, duties, via }),
             Err(problem) => self.wrong(table.key_file.span(), "fleet.key_file", format!("{path}: {problem}")),
         }
     }
--- a/node/src/fleet/operator/tests.rs
+++ b/node/src/fleet/operator/tests.rs
@@ -54,6 +54,30 @@
     "o.toml:5: fleet.answer_within: must be at most half"
 )]
 #[case::member("listen = '127.0.0.1:1'\nmember = 'a b'", "o.toml:5: fleet.member: 'a b' is no name")]
+#[case::struck_without_life(
+    "listen = '127.0.0.1:1'\nstruck = ['b1']",
+    "o.toml:5: fleet.struck: wants a name and a life"
+)]
+#[case::struck_no_life(
+    "listen = '127.0.0.1:1'\nstruck = ['b1 1-2', 'b1 x-y']",
+    "o.toml:5: fleet.struck: 'x-y' is no life"
+)]
+#[case::two_voters(
+    "listen = '127.0.0.1:1'\n[duties]\nvoters = ['b1', 'b2']",
+    "o.toml:6: duties.voters: names 2 members: 1, 3, 5 or 7"
+)]
+#[case::one_voter_twice(
+    "listen = '127.0.0.1:1'\n[duties]\nvoters = ['b1', 'b2', 'b1']",
+    "o.toml:6: duties.voters: names b1 twice"
+)]
+#[case::long_lease(
+    "listen = '127.0.0.1:1'\n[duties]\nvoters = ['b1']\nlease = '3s'",
+    "o.toml:7: duties.lease: '3s' is no span from 200ms to 2s"
+)]
+#[case::one_duty_twice(
+    "listen = '127.0.0.1:1'\n[duties]\nvoters = ['b1']\nown = ['x', 'x']",
+    "o.toml:7: duties.own: names 'x' twice"
+)]
 #[case::mistyped("listen = 5", "o.toml:4: listen: invalid type")]
 #[case::missing("", "o.toml:1: [fleet]: missing field `listen`")]
 fn what_is_wrong_is_named_with_its_line(#[case] more: &str, #[case] problem: &str) {
--- a/node/src/fleet/show.rs
+++ b/node/src/fleet/show.rs
@@ -67,6 +67,22 @@
             standing
         ));
     }
+    let duties = page["duties"]["all"].as_array().into_iter().flatten();
+    for (place, duty) in duties.enumerate() {
+        if place == 0 {
+            lines.push(format!("{:<30} {:<20} {:>9}  {}", "duty", "last holder", "left ms", "term"));
+        }
+        lines.push(format!(
+            "{:<30} {:<20} {:>9}  {}",
+            text(&duty["name"]),
+            text(&duty["last_holder"]),
+            text(&duty["left_ms"]),
+            text(&duty["term"])
+        ));
+    }
+    if page["duties"]["majority"] == Value::Bool(false) {
+        lines.push("no majority of voters answers: duties rest".into());
+    }
     let dropped = page["dropped"].as_object().into_iter().flatten();
     let dropped: Vec<_> = dropped.map(|(cause, count)| format!("{cause} {count}")).collect();
     let dropped = if dropped.is_empty() { "none".into() } else { dropped.join(", ") };
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -144,6 +144,10 @@
             "/health/ready" => (200, "ready\n".into()),
             "/health/live" => (200, "live\n".into()),
             "/stats" => (200, self.counters.to_string()),
+            _ if path.starts_with("/duty/") => match &self.fleet {
+                Some(fleet) => fleet.borrow().duty_page(&path["/duty/".len()..]),
+                None => return false,
+            },
             "/fleet" => match &self.fleet {
                 Some(fleet) => (200, fleet.borrow().page()),
                 None => return false,
