--- a/accord/src/duties/frames.rs
+++ b/accord/src/duties/frames.rs
@@ -48,6 +48,11 @@
         term: Term,
         body: Vec<u8>,
     },
+    /// Something about a duty that is no act: said to its holder.
+    Say {
+        duty: DutyId,
+        body: Vec<u8>,
+    },
     /// Your act's term is old; this is the one I know.
     Old {
         duty: DutyId,
--- a/accord/src/duties/mod.rs
+++ b/accord/src/duties/mod.rs
@@ -174,10 +174,17 @@
     VotersDiffer(Rc<str>),
     /// An act to be done as its receiver sees fit: its term is the greatest known of that duty.
     Acted {
+        from: Rc<str>,
         duty: DutyId,
         term: Term,
         body: Vec<u8>,
     },
+    /// Said about a duty by one who need not hold it.
+    Said {
+        from: Rc<str>,
+        duty: DutyId,
+        body: Vec<u8>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -224,6 +231,8 @@
     pauses: VecDeque<Micros>,
     rests_until: Micros,
     stopping: bool,
+    /// Numbers that an earlier one of this process may have used.
+    numbers_from: u64,
     majority_missing: bool,
     /// Rounds in a row that no majority answered.
     unanswered: u32,
@@ -260,6 +269,7 @@
             pauses: VecDeque::new(),
             rests_until: 0,
             stopping: false,
+            numbers_from: 0,
             majority_missing: false,
             unanswered: 0,
             differ: Vec::new(),
@@ -270,6 +280,19 @@
         }
     }
 
+    /// Follows one that this same process had before: answers to its rounds and its numbers must not pass for new ones.
+    pub fn following(mut self, before: &Self) -> Self {
+        self.round = before.round;
+        self.numbers_from = before.wanted.values().map(|wanted| wanted.number).max().unwrap_or(0);
+        self.numbers_from = self.numbers_from.max(before.numbers_from);
+        self
+    }
+
+    /// Whether it was told to stop, and takes nothing more.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping
+    }
+
     pub fn terms(&self) -> &DutyTerms {
         &self.terms
     }
@@ -279,14 +302,16 @@
         let ids: Vec<DutyId> = duties.iter().map(|duty| duty.id).collect();
         let gone: Vec<DutyId> = self.wanted.keys().filter(|id| !ids.contains(id)).copied().collect();
         self.let_go(now, &gone, Why::LetGo);
-        gone.iter().for_each(|id| _ = self.wanted.remove(id));
+        for wanted in gone.iter().filter_map(|id| self.wanted.remove(id)) {
+            self.numbers_from = self.numbers_from.max(wanted.number);
+        }
         for duty in duties.into_iter().take(DUTIES_MOST) {
             self.wanted.entry(duty.id).or_insert(Wanted {
                 duty,
                 tenure: Tenure::Idle { next: now },
                 order: Vec::new(),
                 rank: None,
-                number: 0,
+                number: self.numbers_from,
                 better_since: None,
                 backing_off: 0,
                 rests_until: 0,
@@ -356,6 +381,13 @@
         true
     }
 
+    /// Says something about a duty to a member, held or not.
+    pub fn say(&mut self, duty: DutyId, to: &Rc<str>, body: Vec<u8>) {
+        if body.len() <= BODY_MOST {
+            self.out.push((Rc::clone(to), DutyFrame::Say { duty, body }));
+        }
+    }
+
     /// Told to stop: lets all go and takes nothing more.
     pub fn stop(&mut self, now: Micros) {
         self.stopping = true;
@@ -699,13 +731,18 @@
             DutyFrame::Act { duty, term, body } => match self.fence.take(*duty, *term) {
                 Ok(()) => {
                     self.learn(now, *duty, *term);
-                    self.events.push(DutyEvent::Acted { duty: *duty, term: *term, body: body.clone() });
+                    let (from, body) = (Rc::clone(sender), body.clone());
+                    self.events.push(DutyEvent::Acted { from, duty: *duty, term: *term, body });
                 }
                 Err(known) => {
                     self.old_refused += 1;
                     self.out.push((Rc::clone(sender), DutyFrame::Old { duty: *duty, term: known }));
                 }
             },
+            DutyFrame::Say { duty, body } => {
+                let (from, body) = (Rc::clone(sender), body.clone());
+                self.events.push(DutyEvent::Said { from, duty: *duty, body });
+            }
             DutyFrame::Old { duty, term } => self.learn(now, *duty, *term),
         }
     }
--- a/accord/src/lib.rs
+++ b/accord/src/lib.rs
@@ -17,6 +17,7 @@
 use nanorand::{Rng, WyRand};
 
 use duties::plan::Place;
+use duties::term::DutyId;
 use duties::{Duties, Duty, DutyEvent, DutyTerms};
 use envelope::{Counters, DATAGRAM_MOST, Drop, Key, Letter, Life};
 use frames::{Frame, NAME_MOST, Record, State};
@@ -208,16 +209,16 @@
     /// make this process a new voter, which is silent at first.
     pub fn take_duties(&mut self, now: Micros, terms: DutyTerms, duties: Vec<Duty>) {
         self.now = self.now.max(now);
-        if self.duties.as_ref().is_none_or(|known| *known.terms() != terms) {
-            if let Some(mut before) = self.duties.take() {
-                before.stop(self.now);
-                self.duties = Some(before);
-                self.say_duties();
-            }
+        if self.duties.as_ref().is_none_or(|known| *known.terms() != terms || known.is_stopping()) {
+            self.leave_duties(now);
             // Where local time began, by the time of day at the start.
             let wall = (self.part.born / 1_000).saturating_sub(self.began / 1_000);
             let me = Rc::clone(&self.table.own.name);
-            self.duties = Some(Duties::new(self.now, terms, me, self.life.chance, wall));
+            let new = Duties::new(self.now, terms, me, self.life.chance, wall);
+            self.duties = Some(match &self.duties {
+                Some(before) => new.following(before),
+                None => new,
+            });
         }
         if let Some(known) = &mut self.duties {
             known.want(self.now, duties);
@@ -244,15 +245,20 @@
     }
 
     /// Sends an act in a duty's name to a member, if this one holds it now and for so long yet.
-    pub fn act(
-        &mut self, now: Micros, duty: duties::term::DutyId, to: &Rc<str>, takes: Micros, body: Vec<u8>,
-    ) -> bool {
+    pub fn act(&mut self, now: Micros, duty: DutyId, to: &Rc<str>, takes: Micros, body: Vec<u8>) -> bool {
         self.now = self.now.max(now);
         let done = self.duties.as_mut().is_some_and(|duties| duties.act(now, duty, to, takes, body));
         self.say_duties();
         done
     }
 
+    /// Says something about a duty to a member.
+    pub fn say_of(&mut self, now: Micros, duty: DutyId, to: &Rc<str>, body: Vec<u8>) {
+        self.now = self.now.max(now);
+        self.duties.iter_mut().for_each(|duties| duties.say(duty, to, body.clone()));
+        self.say_duties();
+    }
+
     /// Does what is due of duties.
     fn turn_duties(&mut self) {
         let own = &self.table.own;
--- a/accord/src/roster/mod.rs
+++ b/accord/src/roster/mod.rs
@@ -38,6 +38,26 @@
     Beat { page: u32, follows: bool },
 }
 
+impl RosterSaid {
+    pub fn bytes(&self) -> Option<Vec<u8>> {
+        postcard::to_stdvec(self).ok()
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
+
+impl RosterWants {
+    pub fn bytes(&self) -> Option<Vec<u8>> {
+        postcard::to_stdvec(self).ok()
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
+
 /// What a reader asks of the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RosterWants {
--- a/accord/src/tests.rs
+++ b/accord/src/tests.rs
@@ -190,3 +190,27 @@
     assert_eq!((all[0].tally().taken, all[0].table.members.len()), (taken, members));
     assert_eq!((dropped[&Drop::Replayed], dropped[&Drop::Hash]), (1_000, 1_000));
 }
+
+/// A file without voters and then with them again: what was let go is taken anew, by a later term.
+#[test]
+fn duties_that_were_left_are_taken_again() {
+    let mut all: Vec<Accord> = (0..3).map(accord).collect();
+    let terms = || DutyTerms { voters: vec!["b0".into(), "b1".into(), "b2".into()], lease: 1_500 * MS };
+    let take = |all: &mut [Accord], now| {
+        all.iter_mut().for_each(|one| one.take_duties(now, terms(), vec![Duty::new("d", None)]));
+    };
+    let holders = |all: &[Accord], now| -> Vec<duties::term::Term> {
+        let held = |one: &Accord| one.duties().and_then(|duties| duties.holds(now, DutyId::of("d"), 0));
+        all.iter().filter_map(held).collect()
+    };
+    take(&mut all, 0);
+    carry(&mut all, 0, 6 * SECOND, &[]);
+    let first = holders(&all, 6 * SECOND);
+    all.iter_mut().for_each(|one| one.leave_duties(6 * SECOND));
+    carry(&mut all, 6 * SECOND, 8 * SECOND, &[]);
+    assert_eq!((first.len(), holders(&all, 8 * SECOND).len()), (1, 0));
+    take(&mut all, 8 * SECOND);
+    carry(&mut all, 8 * SECOND, 14 * SECOND, &[]);
+    let second = holders(&all, 14 * SECOND);
+    assert!(second.len() == 1 && second > first, "{first:?} {second:?}");
+}
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -152,6 +152,10 @@
                 let text = format!("after {:.0} ms, worst {:.0} of {}", all.p50, all.worst, all.count);
                 line("noticed by all", text);
             }
+            line(
+                "discovery",
+                format!("{} calls, {:.2} a second", known.discovery_calls, known.discovery_calls_a_second),
+            );
             if known.flooded > 0 {
                 line("strangers sent", known.flooded.to_string());
             }
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -36,6 +36,9 @@
     pub relay_lost: u64,
     /// Datagrams that strangers sent.
     pub flooded: u64,
+    /// Calls that discovery took, of all balancers, and for how long the day was.
+    pub discovery_calls: u64,
+    pub discovery_calls_a_second: f64,
     pub why: Vec<String>,
     /// Who held which duty, where the day has any.
     pub duties: Option<DutiesFound>,
@@ -45,12 +48,19 @@
 const VOTERS: usize = 3;
 
 fn duties(day: &Day) -> String {
-    if day.duties == 0 {
+    if day.duties == 0 && !day.roster {
         return String::new();
     }
+    let zones = if day.roster { day.fleet.zones.as_slice() } else { &[] };
+    let zones: Vec<_> = zones.iter().map(|zone| format!("\"{zone}\"")).collect();
     let voters: Vec<_> = (0..VOTERS).map(|voter| format!("\"b{voter}\"")).collect();
     let own: Vec<_> = (0..day.duties).map(|number| format!("\"job-{number}\"")).collect();
-    format!("[duties]\nvoters = [{}]\nown = [{}]\n", voters.join(", "), own.join(", "))
+    format!(
+        "[duties]\nvoters = [{}]\nown = [{}]\nroster = [{}]\n",
+        voters.join(", "),
+        own.join(", "),
+        zones.join(", ")
+    )
 }
 
 /// Addresses where balancers hear one another, and where each sends to reach another past a relay.
@@ -66,7 +76,11 @@
 
 impl Addresses {
     pub fn new(balancers: usize) -> std::io::Result<Self> {
-        let free = || UdpSocket::bind("127.0.0.1:0").and_then(|socket| Ok((socket.local_addr()?, socket)));
+        // On an address of this process's own: between being let go here and taken by a balancer a port of 127.0.0.1
+        // may go to anybody who asks for any.
+        let id = std::process::id();
+        let own = std::net::Ipv4Addr::new(127, 1 + (id / 250 % 250) as u8, 1 + (id % 250) as u8, 1);
+        let free = || UdpSocket::bind((own, 0)).and_then(|socket| Ok((socket.local_addr()?, socket)));
         // Held together, so that none is given twice; let go for the balancers to take.
         let held: Vec<_> = (0..balancers).map(|_| free()).collect::<Result<_, _>>()?;
         let heard_at: Vec<SocketAddr> = held.iter().map(|one| one.0).collect();
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -337,6 +337,9 @@
     let mut known = wishes.fleet.then(|| Known {
         relayed: balancing.relayed.passed.load(Ordering::Relaxed),
         relay_lost: balancing.relayed.lost.load(Ordering::Relaxed),
+        discovery_calls: world.calls.load(Ordering::Relaxed),
+        discovery_calls_a_second: world.calls.load(Ordering::Relaxed) as f64
+            / (world.now().max(1) as f64 / 1e6),
         flooded: balancing.relayed.flooded.load(Ordering::Relaxed),
         ..locked(&views).found()
     });
@@ -349,7 +352,7 @@
         child.end();
         deaths.append(&mut child.deaths);
     }
-    if let Some(known) = known.as_mut().filter(|_| day.duties > 0) {
+    if let Some(known) = known.as_mut().filter(|_| day.duties > 0 || day.roster) {
         // The readers of the processes' logs end with these.
         std::thread::sleep(RUNS_OUT);
         known.duties = Some(balancing.duty_lines.found(over_at, locked(&views).terms_fallen()));
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -217,6 +217,7 @@
             let query = asked.path.split_once('?')?.1;
             query.split('&').find_map(|part| part.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
         };
+        world.calls.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let (since, wait) = (number("since"), Duration::from_millis(number("timeout_ms").unwrap_or(0)));
         if let Some(since) = since {
             wait_for_news(&world, since, wait.min(WATCH_MOST)).await;
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -63,6 +63,8 @@
     /// Told when the list changes.
     pub listed: watch::Sender<u64>,
     pub ledger: Mutex<Ledger>,
+    /// Calls that discovery took.
+    pub calls: AtomicU64,
     tickets: Mutex<Known>,
     repeats: Mutex<Repeats>,
     jobs: AtomicU64,
@@ -91,6 +93,7 @@
             listed: watch::Sender::new(0),
             tickets: Mutex::default(),
             repeats: Mutex::default(),
+            calls: AtomicU64::new(0),
             jobs: AtomicU64::new(0),
             chance: Mutex::new(Chance::split(seed, "spoilt", 0)),
             day,
--- a/model/src/day.rs
+++ b/model/src/day.rs
@@ -36,6 +36,9 @@
     /// Duties that the balancers of a fleet hold, one at a time.
     #[serde(default)]
     pub duties: usize,
+    /// Whether one balancer of a zone asks discovery and tells the others.
+    #[serde(default)]
+    pub roster: bool,
     #[serde(default)]
     pub rules: Rules,
     #[serde(default)]
--- a/node/src/fleet/carrier.rs
+++ b/node/src/fleet/carrier.rs
@@ -17,6 +17,7 @@
 use slog::{Logger, info, warn};
 
 use crate::fleet::operator::FleetTerms;
+use crate::fleet::roster::Rosters;
 
 #[cfg(test)]
 mod tests;
@@ -46,6 +47,7 @@
 pub struct Fleet {
     pub accord: Accord,
     pub terms: FleetTerms,
+    pub rosters: Rosters,
     socket: Rc<UdpSocket>,
     log: Logger,
     /// Datagrams that the socket did not take.
@@ -73,7 +75,9 @@
         }
         info!(log, "in the fleet"; "fleet" => &terms.part.fleet, "member" => &terms.part.name,
             "address" => %terms.part.address, "seeds" => terms.part.seeds.len());
-        let fleet = Rc::new(RefCell::new(Self { accord, terms, socket, log: log.clone(), unsent: 0 }));
+        let rosters = Rosters::new(terms.rosters.clone(), &terms.part.zone);
+        let fleet =
+            Rc::new(RefCell::new(Self { accord, terms, rosters, socket, log: log.clone(), unsent: 0 }));
         let source = Generic::new(Rc::clone(&fleet.borrow().socket), Interest::READ, Mode::Level);
         let carried = Rc::clone(&fleet);
         let token = handle.insert_source(source, move |_, _, _| {
@@ -100,7 +104,7 @@
 
     /// How long the loop may wait for it.
     pub fn wait(&self) -> Micros {
-        self.accord.next_due().saturating_sub(now())
+        self.accord.next_due().min(self.rosters.next_due()).saturating_sub(now())
     }
 
     /// Does what is due.
@@ -110,6 +114,25 @@
             self.accord.due(now);
             self.carry();
         }
+        if self.rosters.next_due() <= now {
+            self.rosters.turn(now, &mut self.accord);
+            self.carry();
+        }
+    }
+
+    /// Discovery told this balancer itself, or failed it.
+    pub fn listed(&mut self, list: Option<&serde_json::Value>) {
+        match list {
+            Some(list) => self.rosters.listed(now(), &mut self.accord, list),
+            None => self.rosters.failed(),
+        }
+        self.carry();
+    }
+
+    /// For how long discovery need not be asked, as another tells what it says.
+    pub fn fed_for(&self) -> Option<Micros> {
+        let now = now();
+        self.rosters.fed_until(now).map(|until| until.saturating_sub(now))
     }
 
     /// This process serves no more.
@@ -136,6 +159,10 @@
             None => self.accord.leave_duties(now()),
         }
         (self.terms.via, self.terms.duties) = (new.via, new.duties);
+        if self.terms.rosters != new.rosters {
+            self.rosters = Rosters::new(new.rosters.clone(), &self.terms.part.zone);
+            self.terms.rosters = new.rosters;
+        }
         otherwise.into_iter().filter(|field| field.1).map(|field| field.0).collect()
     }
 
@@ -150,8 +177,34 @@
         for event in self.accord.take_events() {
             self.tell(&event);
         }
-        for event in self.accord.take_duty_events() {
-            self.tell_duty(&event);
+        let events = self.accord.take_duty_events();
+        for event in &events {
+            self.tell_duty(event);
+        }
+        if !events.is_empty() {
+            self.act_on(&events);
+            // What that gave to say goes out with the next turn at the latest; most of it now.
+            self.carry();
+        }
+    }
+
+    /// What is said and held of rosters.
+    fn act_on(&mut self, events: &[DutyEvent]) {
+        let now = now();
+        self.rosters.held(now, &self.accord);
+        for event in events {
+            match event {
+                DutyEvent::Acted { from, duty, term, body } if self.rosters.is_roster(*duty) => {
+                    let wants = self.rosters.told(now, *duty, *term, body);
+                    if let Some(body) = wants.and_then(|wants| wants.bytes()) {
+                        self.accord.say_of(now, *duty, from, body);
+                    }
+                }
+                DutyEvent::Said { from, duty, body } => {
+                    self.rosters.wanted(now, &mut self.accord, *duty, from, body);
+                }
+                _ => {}
+            }
         }
     }
 
@@ -181,8 +234,8 @@
             DutyEvent::VotersDiffer(name) => {
                 warn!(log, "a member has other voters in its file"; "member" => &**name);
             }
-            // What is announced has no body; nothing else is acted on yet.
-            DutyEvent::Acted { .. } => {}
+            // Not worth a line: what they bring shows where it is taken.
+            DutyEvent::Acted { .. } | DutyEvent::Said { .. } => {}
         }
     }
 
--- a/node/src/fleet/carrier/tests.rs
+++ b/node/src/fleet/carrier/tests.rs
@@ -2,6 +2,7 @@
 
 use calloop::EventLoop;
 use pinefront_accord::Part;
+use pinefront_accord::duties::{Duty, DutyTerms, LEASE_USUAL};
 use pinefront_accord::envelope::Key;
 
 use super::*;
@@ -10,6 +11,13 @@
 
 fn open(
     event_loop: &EventLoop<'static, ()>, name: &str, seeds: Vec<std::net::SocketAddr>,
+) -> Rc<RefCell<Fleet>> {
+    open_with(event_loop, name, seeds, false)
+}
+
+/// With a roster of zone a where wanted, on which b0 alone votes.
+fn open_with(
+    event_loop: &EventLoop<'static, ()>, name: &str, seeds: Vec<std::net::SocketAddr>, roster: bool,
 ) -> Rc<RefCell<Fleet>> {
     let free = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let part = Part {
@@ -25,7 +33,11 @@
         struck: Default::default(),
     };
     let key = Key::new(b"0123456789abcdef").unwrap();
-    let terms = FleetTerms { listen: free, part, key, duties: None, via: Default::default() };
+    let duty = Duty::new("roster/a", Some("a".into()));
+    let duty_terms = DutyTerms { voters: vec!["b0".into()], lease: LEASE_USUAL };
+    let rosters = roster.then(|| (duty.id, Rc::from("a"))).into_iter().collect();
+    let duties = roster.then(|| (duty_terms, vec![duty]));
+    let terms = FleetTerms { listen: free, part, key, duties, rosters, via: Default::default() };
     let log = Logger::root(slog::Discard, slog::o!());
     Fleet::open(&event_loop.handle(), terms, 1, &log).unwrap()
 }
@@ -58,3 +70,36 @@
     assert!(first.borrow().page().contains("\"proven_gone\":\"said_so\""));
     assert!(first.borrow().page().contains("\"hash\":50"));
 }
+
+/// One follows discovery, the other is told the list whole and then its changes, and asks nothing while that goes on.
+#[test]
+fn the_list_is_passed_on_by_who_holds_the_roster() {
+    let mut event_loop = EventLoop::try_new().unwrap();
+    let first = open_with(&event_loop, "b0", Vec::new(), true);
+    let seed = first.borrow().terms.part.address;
+    let second = open_with(&event_loop, "b1", vec![seed], true);
+    let all = [Rc::clone(&first), Rc::clone(&second)];
+    let tells = |one: &Rc<RefCell<Fleet>>| one.borrow().rosters.tells();
+    until(&mut event_loop, &all, || tells(&first) || tells(&second));
+    let (holder, reader) = if tells(&first) { (&first, &second) } else { (&second, &first) };
+    assert!(holder.borrow_mut().rosters.takes_over() && !reader.borrow_mut().rosters.takes_over());
+    let entry =
+        |n: usize| serde_json::json!({"uid": format!("s{n}"), "state": "active", "note": "x".repeat(90)});
+    let whole = serde_json::json!({"rev": 4, "all": true, "targets": (0..40).map(entry).collect::<Vec<_>>()});
+    let change = serde_json::json!({"rev": 5, "all": false, "targets": [entry(77)]});
+    holder.borrow_mut().listed(Some(&whole));
+    holder.borrow_mut().listed(Some(&change));
+    let taken = RefCell::new(Vec::new());
+    until(&mut event_loop, &all, || {
+        taken.borrow_mut().extend(reader.borrow_mut().rosters.take_pages());
+        taken.borrow().len() == 2 && reader.borrow().fed_for().is_some()
+    });
+    let lists: Vec<serde_json::Value> =
+        taken.borrow().iter().map(|page| serde_json::from_slice(page).unwrap()).collect();
+    let named = |list: &serde_json::Value| list["targets"].as_array().unwrap().len();
+    assert_eq!((lists[0]["rev"].as_u64(), named(&lists[0]), named(&lists[1])), (Some(4), 40, 1));
+    assert!(holder.borrow().fed_for().is_none());
+    // Its discovery fails it: nobody is told any more that the list is fresh, and each asks for itself.
+    holder.borrow_mut().listed(None);
+    until(&mut event_loop, &all, || reader.borrow().fed_for().is_none());
+}
--- a/node/src/fleet/operator.rs
+++ b/node/src/fleet/operator.rs
@@ -6,6 +6,7 @@
 use std::ops::Range;
 use std::rc::Rc;
 
+use pinefront_accord::duties::term::DutyId;
 use pinefront_accord::duties::{
     DUTIES_MOST, Duty, DutyTerms, LEASE_LEAST, LEASE_MOST, LEASE_USUAL, VOTERS_MOST,
 };
@@ -63,6 +64,9 @@
     lease: Option<Spanned<String>>,
     #[serde(default)]
     own: Vec<Spanned<String>>,
+    /// Zones in which one member asks discovery for all.
+    #[serde(default)]
+    roster: Vec<Spanned<String>>,
 }
 
 /// What the operator file says of the fleet.
@@ -72,10 +76,14 @@
     pub key: Key,
     /// Where it names voters.
     pub duties: Option<(DutyTerms, Vec<Duty>)>,
+    /// Zones with a roster, by its duty.
+    pub rosters: BTreeMap<DutyId, Rc<str>>,
     /// For members reached at another address than the one they tell: where to send instead.
     pub via: BTreeMap<SocketAddr, SocketAddr>,
 }
 
+type Zones = BTreeMap<DutyId, Rc<str>>;
+
 struct Reader<'a> {
     file: &'a str,
     text: &'a str,
@@ -141,7 +149,7 @@
         }
     }
 
-    fn duties(&self, table: &DutiesTable) -> Result<(DutyTerms, Vec<Duty>), String> {
+    fn duties(&self, table: &DutiesTable) -> Result<(DutyTerms, Vec<Duty>, Zones), String> {
         let mut voters: Vec<Rc<str>> = Vec::new();
         for value in table.voters.get_ref() {
             let voter: Rc<str> = self.word(value, "duties.voters")?.into();
@@ -169,7 +177,18 @@
             }
             duties.push(duty);
         }
-        Ok((DutyTerms { voters, lease }, duties))
+        let mut rosters = Zones::new();
+        for value in &table.roster {
+            let zone: Rc<str> = self.word(value, "duties.roster")?.into();
+            let duty = Duty::new(&format!("roster/{zone}"), Some(Rc::clone(&zone)));
+            if duties.iter().any(|known| known.id == duty.id) {
+                let reason = format!("names '{zone}' twice, or is one of duties.own");
+                return self.wrong(value.span(), "duties.roster", reason);
+            }
+            rosters.insert(duty.id, zone);
+            duties.push(duty);
+        }
+        Ok((DutyTerms { voters, lease }, duties, rosters))
     }
 
     fn terms(&self, name: &str, zone: &str) -> Result<FleetTerms, String> {
@@ -231,11 +250,15 @@
             return self.wrong(at, "fleet.answer_within", reason);
         }
         let duties = file.duties.as_ref().map(|table| self.duties(table.get_ref())).transpose()?;
+        let (duties, rosters) = match duties {
+            Some((terms, duties, rosters)) => (Some((terms, duties)), rosters),
+            None => (None, Zones::new()),
+        };
         let path = table.key_file.get_ref();
         let key = std::fs::read(path).map_err(|problem| problem.to_string());
         let key = key.and_then(|bytes| Key::new(&bytes).map_err(|problem| problem.to_string()));
         match key {
-            Ok(key) => Ok(FleetTerms { listen, part, key, duties, via }),
+            Ok(key) => Ok(FleetTerms { listen, part, key, duties, rosters, via }),
             Err(problem) => self.wrong(table.key_file.span(), "fleet.key_file", format!("{path}: {problem}")),
         }
     }
--- a/node/src/fleet/page.rs
+++ b/node/src/fleet/page.rs
@@ -69,11 +69,21 @@
         json!({
             "voters": terms.voters.iter().map(|voter| &**voter).collect::<Vec<_>>(),
             "lease_ms": terms.lease / 1_000, "majority": duties.has_majority(),
+            "roster": self.roster_page(),
             "silent_voter": duties.is_silent_voter(now()), "old_acts_refused": duties.old_refused,
             "all": duties.wanted().filter_map(|duty| one(&duty.name)).collect::<Vec<_>>(),
         })
     }
 
+    /// Whether this balancer asks discovery for others, or is told what it says, and how old that is.
+    fn roster_page(&self) -> Value {
+        let (rosters, at) = (&self.rosters, now());
+        json!({
+            "tells": rosters.tells(), "told": rosters.fed_until(at).is_some(),
+            "page": rosters.reader().page(), "age_ms": rosters.reader().age(at).map(|age| age / 1_000),
+        })
+    }
+
     /// `GET /duty/NAME`: 200 where it is held here, 409 where not, 404 where no file names it.
     pub fn duty_page(&self, name: &str) -> (u16, String) {
         let Some(state) = self.duty(name) else { return (404, "no such duty\n".into()) };
--- a/node/src/life/reread/tests.rs
+++ b/node/src/life/reread/tests.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 
 use super::*;
+use crate::fleet::carrier::Fleet;
 use crate::memory::desk::Desk;
 use crate::stand::{Stand, answer, entry, listener, message, moved, say, told};
 
@@ -300,3 +301,40 @@
     drop(client);
     stand.until(|node| node.over.then_some(()));
 }
+
+/// The operator file too is read anew: what can be taken holds at once, what can't be changes nothing.
+#[test]
+fn an_operator_file_that_cannot_be_taken_changes_nothing() {
+    let mut stand = Stand::new();
+    let key = file("operator-key", "0123456789abcdef");
+    let fleet = format!(
+        "[fleet]\nname = 'f'\nkey_file = '{key}'\nlisten = '127.0.0.1:0'\nadvertise = '127.0.0.1:9'\n"
+    );
+    let path = file("operator", &fleet);
+    let opened = {
+        let desk = stand.node.desk.borrow();
+        let terms = fleet_terms(&path, &desk.place, stand.node.balancer.terms()).unwrap();
+        Fleet::open(&desk.handle, terms, 1, &desk.log).unwrap()
+    };
+    stand.node.desk.borrow_mut().fleet = Some(opened);
+    let mut duties = |text: &str| {
+        std::fs::write(&path, format!("{fleet}{text}")).unwrap();
+        stand.node.reread_operator(Some(&path));
+        let desk = stand.node.desk.borrow();
+        let duties = |fleet: &Fleet| fleet.accord.duties().map_or(0, |duties| duties.wanted().count());
+        desk.fleet.as_ref().map_or(0, |fleet| duties(&fleet.borrow()))
+    };
+    let two = "[duties]\nvoters = ['b1']\nown = ['x', 'y']\n";
+    let told = [
+        ("", 0),
+        (two, 2),
+        ("[duties]\nvoters = []\n", 2),
+        ("[duties]\nvoters = ['b1']\n", 0),
+        (two, 2),
+        ("", 0),
+    ];
+    for (text, count) in told {
+        assert_eq!(duties(text), count, "{text}");
+    }
+    [key, path].into_iter().for_each(|path| std::fs::remove_file(path).unwrap());
+}
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -82,8 +82,9 @@
         }
         let began = node.desk.borrow().now();
         node.deadlines();
+        node.desk.borrow().fleet.iter().for_each(|fleet| fleet.borrow_mut().turn());
+        node.take_roster();
         let mut desk = node.desk.borrow_mut();
-        desk.fleet.iter().for_each(|fleet| fleet.borrow_mut().turn());
         let took = desk.now().saturating_sub(began);
         desk.counters.longest_turn_us = desk.counters.longest_turn_us.max(took);
         let (dropped, room) = pipe.flush();
--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -49,6 +49,7 @@
     words_passed_over,
     lists_asked,
     lists_taken,
+    lists_told,
     lists_failed,
     rereads,
     rereads_failed,
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -41,6 +41,8 @@
 const DOUBT_DOUBLINGS: u32 = 3;
 /// How long the list that we were started with, which may be old, waits for discovery's own.
 const LIST_WAIT: Micros = 200_000;
+/// Over how long balancers that are told the list by another, and no longer are, ask for it themselves.
+const FED_SCATTER: Micros = 2_000_000;
 /// Longest list taken: some thousand upstreams.
 const LIST_MOST: usize = 4 * 1024 * 1024;
 /// How long an upstream that is no longer listed keeps its address where only draining binds: longer than the module
@@ -117,6 +119,13 @@
     pub fn discovery_due(&mut self) {
         let mut desk = self.desk.borrow_mut();
         desk.roster.due = None;
+        let fed_for = desk.fleet.as_ref().and_then(|fleet| fleet.borrow().fed_for());
+        if let Some(fed_for) = fed_for.filter(|_| !desk.roster.asking && desk.roster.taken) {
+            // Another asks for all, and says what it hears. All who stop hearing it do so at once, and ask scattered.
+            let scatter = desk.roster.chance.generate_range(0..=FED_SCATTER);
+            let at = desk.now() + fed_for + scatter;
+            return desk.ask_at(at);
+        }
         if desk.roster.watches() {
             // It fell silent, alone: discovery is not crowded, and what changed counts as told from here on. A scattered wait
             // as after a failed call left the old list in use for 5 to 7 s.
@@ -165,9 +174,17 @@
                     desk.end_discovery(reasons::DISCOVERY_CLOSED);
                 }
                 drop(borrowed);
-                let taken = serde_json::from_slice(&text)
-                    .map_err(|problem| problem.to_string())
-                    .and_then(|list: Value| self.take_list(&list));
+                let taken = serde_json::from_slice(&text).map_err(|problem| problem.to_string()).and_then(
+                    |list: Value| {
+                        self.take_list(&list)?;
+                        self.desk
+                            .borrow()
+                            .fleet
+                            .iter()
+                            .for_each(|fleet| fleet.borrow_mut().listed(Some(&list)));
+                        Ok(())
+                    },
+                );
                 match taken {
                     Ok(()) => self.watch_on(),
                     Err(problem) => {
@@ -278,9 +295,44 @@
             let at = desk.now() + wait;
             desk.ask_at(at);
         }
+        desk.fleet.iter().for_each(|fleet| fleet.borrow_mut().listed(None));
         drop(borrowed);
         self.balancer.list_failed();
     }
+
+    /// Takes what another balancer of the zone tells of the list, and asks for the whole of it where this one has just
+    /// begun to tell the others.
+    pub fn take_roster(&mut self) {
+        let Some(fleet) = self.desk.borrow().fleet.clone() else { return };
+        let (pages, takes_over) = {
+            let rosters = &mut fleet.borrow_mut().rosters;
+            (rosters.take_pages(), rosters.takes_over())
+        };
+        for page in pages {
+            let taken = serde_json::from_slice(&page).map_err(|problem| problem.to_string());
+            match taken.and_then(|list: Value| self.take_list(&list)) {
+                Ok(()) => {
+                    let mut desk = self.desk.borrow_mut();
+                    desk.counters.lists_told += 1;
+                    (desk.roster.taken, desk.roster.failures) = (true, 0);
+                    if !desk.roster.asking && desk.roster.due.is_none() {
+                        let now = desk.clock.now();
+                        desk.ask_at(now);
+                    }
+                }
+                Err(problem) => {
+                    warn!(self.desk.borrow().log, "list of another balancer not understood"; "problem" => problem);
+                }
+            }
+        }
+        if takes_over {
+            let mut desk = self.desk.borrow_mut();
+            desk.end_discovery(reasons::MOVED);
+            desk.roster.version = None;
+            let now = desk.clock.now();
+            desk.ask_at(now);
+        }
+    }
 }
 
 impl Desk {
