Reading again: the voters are hashed once, and what duties wrote twice stands once

Seen on reading: each ask and claim, sent and heard, sorted and hashed the voters anew; each datagram heard looked its sender up though nothing was struck; waiting by rank stood four times, a voter's told term and letting all go twice.

Change: `Duties::fingerprint`, `Wanted::wait`, `Wanted::hears_of`, `let_all_go`; `Table::heard` asks `is_struck` and gives nothing back. Acts as before.

--- a/accord/src/duties/mod.rs
+++ b/accord/src/duties/mod.rs
@@ -209,12 +209,26 @@
         self.rests_until = if self.order.len() > 1 { now + RESTS } else { now };
         self.tenure = Tenure::Idle { next: self.rests_until };
     }
+
+    /// Asks again after that and its turn by rank.
+    fn wait(&mut self, now: Micros, wait: Micros) {
+        let rank = self.rank.unwrap_or(plan::RANKS) as Micros;
+        self.tenure = Tenure::Idle { next: now + wait + rank * STEP };
+    }
+
+    /// A voter told its greatest term: a number to go beyond, no more, as who was granted that term there need not have
+    /// held the duty.
+    fn hears_of(&mut self, told: &Told) {
+        self.number = self.number.max(told.term.map_or(0, |term| term.number));
+    }
 }
 
 /// One member's part in who does what.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Duties {
     terms: DutyTerms,
+    /// Of the voters, as it goes with each ask and claim.
+    fingerprint: u32,
     me: Rc<str>,
     life: u64,
     /// Unix milliseconds at local time 0, by its own clock.
@@ -254,6 +268,7 @@
     ) -> Self {
         let voter = terms.voters.contains(&me).then(|| Voter::new(now, planted));
         Self {
+            fingerprint: terms.fingerprint(),
             terms,
             me,
             life,
@@ -391,8 +406,12 @@
     /// Told to stop: lets all go and takes nothing more.
     pub fn stop(&mut self, now: Micros) {
         self.stopping = true;
+        self.let_all_go(now, Why::LetGo);
+    }
+
+    fn let_all_go(&mut self, now: Micros, why: Why) {
         let all: Vec<DutyId> = self.wanted.keys().copied().collect();
-        self.let_go(now, &all, Why::LetGo);
+        self.let_go(now, &all, why);
     }
 
     /// This process was not run for a while. What ran out meanwhile is lost; one that is stopped again and again lets
@@ -406,8 +425,7 @@
         if self.pauses.len() >= PAUSES.0 {
             self.pauses.clear();
             self.rests_until = now + PAUSES.1;
-            let all: Vec<DutyId> = self.wanted.keys().copied().collect();
-            self.let_go(now, &all, Why::Pauses);
+            self.let_all_go(now, Why::Pauses);
         }
     }
 
@@ -523,7 +541,7 @@
                     wanted.tenure = Tenure::Asking(Asked::new(round, now));
                 }
             }
-            let voters = self.terms.fingerprint();
+            let voters = self.fingerprint;
             self.tell_voters(now, &DutyFrame::Ask { round, voters, duties: duties.to_vec() });
         }
     }
@@ -564,7 +582,7 @@
     }
 
     fn send_claims(&mut self, now: Micros, round: u32, claims: Vec<(DutyId, u64)>) {
-        let (voters, lease) = (self.terms.fingerprint(), self.terms.lease as u32);
+        let (voters, lease) = (self.fingerprint, self.terms.lease as u32);
         self.tell_voters(now, &DutyFrame::Claim { round, voters, lease, claims });
     }
 
@@ -574,7 +592,6 @@
         let mut given_up = Vec::new();
         let mut missed = false;
         for wanted in self.wanted.values_mut() {
-            let rank = wanted.rank.unwrap_or(plan::RANKS) as Micros;
             match &wanted.tenure {
                 Tenure::Asking(asked) if now >= asked.since + ROUND => {
                     let heard = asked.heard.count_ones() >= majority;
@@ -584,12 +601,12 @@
                         false => (wanted.backing_off * 2).clamp(BACK_OFF.0, BACK_OFF.1),
                     };
                     let wait = if heard { asked.free_in(majority).max(STEP) } else { wanted.backing_off };
-                    wanted.tenure = Tenure::Idle { next: now + wait + rank * STEP };
+                    wanted.wait(now, wait);
                 }
                 Tenure::Claiming(claimed) if now >= claimed.since + ROUND => {
                     given_up.push((wanted.duty.id, claimed.term.number));
                     wanted.backing_off = (wanted.backing_off * 2).clamp(BACK_OFF.0, BACK_OFF.1);
-                    wanted.tenure = Tenure::Idle { next: now + wanted.backing_off + rank * STEP };
+                    wanted.wait(now, wanted.backing_off);
                 }
                 _ => {}
             }
@@ -754,7 +771,7 @@
     /// Whether a claimant has the same voters in its file; else nothing is granted to it, as two majorities of
     /// different voters need not share one.
     fn agrees(&mut self, sender: &Rc<str>, voters: u32) -> bool {
-        let same = voters == self.terms.fingerprint();
+        let same = voters == self.fingerprint;
         if !same && !self.differ.contains(sender) && self.differ.len() < DUTIES_MOST {
             self.differ.push(Rc::clone(sender));
             self.events.push(DutyEvent::VotersDiffer(Rc::clone(sender)));
@@ -768,9 +785,7 @@
         let (mut claims, mut heard) = (Vec::new(), false);
         for told in told {
             let Some(wanted) = self.wanted.get_mut(&told.duty) else { continue };
-            // A number to go beyond, no more: who was granted that term here need not have held the duty.
-            wanted.number = wanted.number.max(told.term.map_or(0, |term| term.number));
-            let rank = wanted.rank.unwrap_or(plan::RANKS) as Micros;
+            wanted.hears_of(told);
             let Tenure::Asking(asked) = &mut wanted.tenure else { continue };
             if asked.round != round {
                 continue;
@@ -783,7 +798,7 @@
                 // Held, whatever the rest says: asked again when enough grants have run out.
                 let wait = asked.free_in(majority).max(STEP);
                 wanted.backing_off = 0;
-                wanted.tenure = Tenure::Idle { next: now + wait + rank * STEP };
+                wanted.wait(now, wait);
             }
         }
         if heard {
@@ -836,9 +851,7 @@
         let mut given_up = Vec::new();
         for told in refused {
             let Some(wanted) = self.wanted.get_mut(&told.duty) else { continue };
-            // A number to go beyond, no more: who was granted that term here need not have held the duty.
-            wanted.number = wanted.number.max(told.term.map_or(0, |term| term.number));
-            let rank = wanted.rank.unwrap_or(plan::RANKS) as Micros;
+            wanted.hears_of(told);
             if let Tenure::Claiming(claimed) = &mut wanted.tenure
                 && claimed.round == round
             {
@@ -847,7 +860,7 @@
                 if open < majority {
                     given_up.push((told.duty, claimed.term.number));
                     let wait = Micros::from(told.left).clamp(STEP, LEASE_MOST);
-                    wanted.tenure = Tenure::Idle { next: now + wait + rank * STEP };
+                    wanted.wait(now, wait);
                 }
             }
         }
--- a/accord/src/lib.rs
+++ b/accord/src/lib.rs
@@ -255,7 +255,9 @@
     /// Says something about a duty to a member.
     pub fn say_of(&mut self, now: Micros, duty: DutyId, to: &Rc<str>, body: Vec<u8>) {
         self.now = self.now.max(now);
-        self.duties.iter_mut().for_each(|duties| duties.say(duty, to, body.clone()));
+        if let Some(duties) = &mut self.duties {
+            duties.say(duty, to, body);
+        }
         self.say_duties();
     }
 
--- a/accord/src/membership/table.rs
+++ b/accord/src/membership/table.rs
@@ -317,15 +317,14 @@
         self.struck = struck.difference(&self.struck_void).cloned().collect();
     }
 
-    /// A process was heard itself. Whether the operators had said that it has ended.
-    pub fn heard(&mut self, name: &Rc<str>, life: Life) -> bool {
-        let one = (Rc::clone(name), life);
-        let void = self.struck.remove(&one);
-        if void {
+    /// A process was heard itself: if the operators had said that it has ended, their word is void.
+    pub fn heard(&mut self, name: &Rc<str>, life: Life) {
+        if self.is_struck(name, life) {
+            let one = (Rc::clone(name), life);
+            self.struck.remove(&one);
             self.struck_void.insert(one);
             self.events.push(Event::StruckHeard(Rc::clone(name)));
         }
-        void
     }
 
     fn is_struck(&self, name: &Rc<str>, life: Life) -> bool {
