Lists have one owner with a stated bound: drains known 6 s on, or 2 s after a silent watch

Whole list and first watch each took a turn, watches of 7.5 s ran out faster than turns, and each refused connection ended a sound watch. Balancer 5 was turned away (503) from 2.8 to 15.4 s. Ruled out: lists read late (answers were taken in the turn they came in), the module (its `ready` fell with the list), lost lists.

Change: `wire/following.rs`, no I/O, told the time, owns version, call, back-off and doubts; the module's back-off (up to 7 s in large fleets) is not asked by the sockets any more. A silent watch is given up 0.25 s after its wait. The first call on a connection is answered in its turn and the watch follows it, so that its wait has a known end. The list that we were started with is followed from its version, the whole asked for after the first watch that tells nothing. Watches wait longer in large fleets (0.5 s a balancer, 20 s at most), after news for a random part of that. Doubts wait a scatter, and news ends them. A retry comes within 1.5 s, where lists are pushed within 0.2.

The doubt's and the silent watch's tests on loopback set the clock of the new owner instead of Roster's fields; they ask for the same.

--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use httparse::{Response, Status};
-use nanorand::{Rng, WyRand};
 use pinefront::Micros;
 use pinefront_terms::fields::{Decoded, flag, list, number, optional, text, whole};
 use serde_json::Value;
@@ -13,32 +12,15 @@
 use crate::life::reasons;
 use crate::life::serve::Node;
 use crate::memory::buffers::{Inbox, Inflow, Outbox};
-use crate::memory::deadlines::{Due, Place};
+use crate::memory::deadlines::{Deadlines, Due, Place};
 use crate::memory::desk::{Desk, Upstream, Wired};
+use crate::wire::following::{Following, Step};
 use crate::wire::heads::{self, FIELDS_MOST, HEAD_MOST};
 use crate::wire::upstreams::connect;
 
 #[cfg(test)]
 mod tests;
 
-/// How long a watch may wait at discovery. What a cut-off discovery has to tell counts as told two seconds
-/// after the wait of the call that is out, so a long wait bridges longer cuts.
-const WATCH_MOST: Micros = 20_000_000;
-/// Part of the span within which the settings want us to ask that a watch may wait: a discovery that came back
-/// without knowing of it counts us as told after that span, and the next call must come before.
-const WATCH_PART: f64 = 0.75;
-/// How long an answer may take beyond that wait; a whole list may queue at discovery for two seconds first.
-const OVERDUE: Micros = 1_500_000;
-const QUEUED: Micros = 1_000_000;
-/// How long a connection to discovery may take to come about: a machine that vanished never answers.
-const CONNECT_WITHIN: Micros = 1_000_000;
-/// The shortest time between two calls: answers that come at once would have us ask without end. A watch goes
-/// on as long as the next call follows within 200 ms.
-const ASK_APART: Micros = 100_000;
-/// How long a watch must be out before a refused connection casts doubt on it: discovery is one service for all,
-/// and its calls are dear. Doubled at each doubt that brought no news.
-const DOUBT_AFTER: Micros = 3_000_000;
-const DOUBT_DOUBLINGS: u32 = 3;
 /// How long the list that we were started with, which may be old, waits for discovery's own.
 const LIST_WAIT: Micros = 200_000;
 /// Over how long balancers that are told the list by another, and no longer are, ask for it themselves.
@@ -48,32 +30,17 @@
 /// How long an upstream that is no longer listed keeps its address where only draining binds: longer than the module
 /// would try it.
 const KEPT_FOR: Micros = 90_000_000;
-/// Where the module does not ask for the list itself: the first wait after a failed call, and its doublings.
-const RETRY_FIRST: Micros = 250_000;
-const RETRY_DOUBLINGS: u32 = 4;
-
 /// The connection to discovery and how far the list has come.
 pub struct Roster {
     wired: Option<Wired>,
     inbox: Inbox,
     outbox: Outbox,
-    version: Option<u64>,
-    /// A call is out.
-    asking: bool,
-    /// The connection has come about.
-    connected: bool,
-    /// When the last call was made, and when its answer is overdue.
-    asked: Micros,
-    overdue: Micros,
+    pub following: Following,
     due: Option<Place>,
-    failures: u32,
-    /// Doubts since the last list that told anything.
-    doubts: u32,
     /// Whether there is the list that we were started with, and one of discovery's own.
     known: bool,
     taken: bool,
     started: Micros,
-    chance: WyRand,
 }
 
 impl Roster {
@@ -82,36 +49,24 @@
             wired: None,
             inbox: Inbox::default(),
             outbox: Outbox::default(),
-            version: None,
-            asking: false,
-            connected: false,
-            asked: 0,
-            overdue: 0,
+            following: Following::new(seed),
             due: None,
-            failures: 0,
-            doubts: 0,
             known: false,
             taken: false,
             started: now,
-            chance: WyRand::new_seed(!seed),
         }
     }
 
-    /// What was taken is the list that we were started with; the first call asks for the whole of it.
+    /// What was taken is the list that we were started with.
     pub fn only_known(&mut self) {
-        self.version = None;
+        self.following.only_known();
         self.known = true;
     }
 
-    /// Whether a watch is out on a connection that came about.
-    fn watches(&self) -> bool {
-        self.asking && self.connected && self.version.is_some()
-    }
-
     /// Whether there is a list to serve by: discovery's own, or the one we were started with where discovery
     /// does not answer at once.
     pub fn stands(&self, now: Micros) -> bool {
-        self.taken || (self.known && (self.failures > 0 || now >= self.started + LIST_WAIT))
+        self.taken || (self.known && (self.following.failures() > 0 || now >= self.started + LIST_WAIT))
     }
 }
 
@@ -119,20 +74,23 @@
     pub fn discovery_due(&mut self) {
         let mut desk = self.desk.borrow_mut();
         desk.roster.due = None;
+        let now = desk.now();
         let fed_for = desk.fleet.as_ref().and_then(|fleet| fleet.borrow().fed_for());
-        if let Some(fed_for) = fed_for.filter(|_| !desk.roster.asking && desk.roster.taken) {
+        let step = desk.roster.following.due(now);
+        if let Some(fed_for) = fed_for.filter(|_| step == Step::Ask && desk.roster.taken) {
             // Another asks for all, and says what it hears. All who stop hearing it do so at once, and ask scattered.
-            let scatter = desk.roster.chance.generate_range(0..=FED_SCATTER);
-            let at = desk.now() + fed_for + scatter;
-            return desk.ask_at(at);
+            desk.roster.following.rest(now + fed_for, FED_SCATTER);
+            return desk.hang_discovery();
         }
-        if desk.roster.watches() {
-            // It fell silent, alone: discovery is not crowded, and what changed counts as told from here on. A scattered wait
-            // as after a failed call left the old list in use for 5 to 7 s.
-            desk.end_discovery(reasons::DISCOVERY_OVERDUE);
-        } else if desk.roster.asking {
-            drop(desk);
-            return self.call_failed(reasons::DISCOVERY_OVERDUE);
+        match step {
+            Step::Nothing => return desk.hang_discovery(),
+            Step::Ask => {}
+            Step::AskAnew => desk.end_discovery(reasons::DISCOVERY_OVERDUE),
+            Step::Doubt => desk.end_discovery(reasons::DOUBTED),
+            Step::GiveUp => {
+                drop(desk);
+                return self.call_failed(reasons::DISCOVERY_OVERDUE);
+            }
         }
         let asked = desk.ask();
         drop(desk);
@@ -147,18 +105,18 @@
         let roster = &mut desk.roster;
         let Some(wired) = &roster.wired else { return };
         let failed = wired.stream.take_error().is_ok_and(|problem| problem.is_some());
-        if !roster.connected && wired.stream.peer_addr().is_ok() {
-            roster.connected = true;
-            desk.deadlines.move_to(&mut roster.due, roster.overdue, Due::Discovery);
+        if wired.stream.peer_addr().is_ok() {
+            roster.following.connected();
         }
         let written = roster.outbox.drain(&wired.stream);
         let inflow = roster.inbox.fill(&wired.stream, LIST_MOST);
+        roster.hang(&mut desk.deadlines);
         let ended = inflow != Inflow::Dry;
         // A connection under way is not writable yet, which is no failure.
         let unwritten = written.is_err_and(|problem| problem.kind() != std::io::ErrorKind::NotConnected);
         let found = whole_list(roster.inbox.kept(), inflow == Inflow::Ended);
         match found {
-            _ if !roster.asking => {
+            _ if !roster.following.asking() => {
                 // The next call may be due already, and is made on a new connection.
                 if ended || failed || !roster.inbox.kept().is_empty() {
                     desk.end_discovery(reasons::DISCOVERY_CLOSED);
@@ -168,8 +126,6 @@
                 let message = roster.inbox.take(end);
                 let text: Vec<u8> =
                     bodies.iter().flat_map(|range| &message[range.clone()]).copied().collect();
-                roster.asking = false;
-                desk.deadlines.clear(&mut roster.due);
                 if !lasts || ended {
                     desk.end_discovery(reasons::DISCOVERY_CLOSED);
                 }
@@ -186,7 +142,13 @@
                     },
                 );
                 match taken {
-                    Ok(()) => self.watch_on(),
+                    Ok(()) => {
+                        let mut desk = self.desk.borrow_mut();
+                        let now = desk.clock.now();
+                        desk.roster.taken = true;
+                        desk.roster.following.answered(now);
+                        desk.hang_discovery();
+                    }
                     Err(problem) => {
                         warn!(self.desk.borrow().log, "list not understood"; "problem" => problem);
                         self.call_failed(reasons::NONSENSE);
@@ -231,10 +193,7 @@
         self.balancer.list_ends(now);
         let mut desk = self.desk.borrow_mut();
         desk.drop_left();
-        desk.roster.version = Some(version);
-        if !entries.is_empty() {
-            desk.roster.doubts = 0;
-        }
+        desk.roster.following.listed(version, complete, !entries.is_empty());
         desk.counters.lists_taken += 1;
         Ok(())
     }
@@ -269,35 +228,15 @@
         Ok(())
     }
 
-    /// The watch goes on as long as the next call follows at once.
-    fn watch_on(&mut self) {
-        let mut desk = self.desk.borrow_mut();
-        desk.roster.taken = true;
-        desk.roster.failures = 0;
-        let at = desk.now().max(desk.roster.asked + ASK_APART);
-        desk.ask_at(at);
-    }
-
-    /// A call for the list failed: the list that we have stands, and the module says when to ask anew.
+    /// A call for the list failed: the list that we have stands.
     fn call_failed(&mut self, reason: &'static str) {
-        let mut borrowed = self.desk.borrow_mut();
-        let desk = &mut *borrowed;
+        let mut desk = self.desk.borrow_mut();
         desk.counters.lists_failed += 1;
         desk.end_discovery(reason);
-        desk.deadlines.clear(&mut desk.roster.due);
-        let asks_itself = desk.place.ask_within.is_some();
-        let roster = &mut desk.roster;
-        let failures = roster.failures;
-        roster.failures += 1;
-        if !asks_itself {
-            let wait = RETRY_FIRST << failures.min(RETRY_DOUBLINGS);
-            let wait = wait / 2 + roster.chance.generate_range(0..=wait / 2);
-            let at = desk.now() + wait;
-            desk.ask_at(at);
-        }
+        let (now, within) = (desk.now(), desk.place.ask_within);
+        desk.roster.following.failed(now, within);
+        desk.hang_discovery();
         desk.fleet.iter().for_each(|fleet| fleet.borrow_mut().listed(None));
-        drop(borrowed);
-        self.balancer.list_failed();
     }
 
     /// Takes what another balancer of the zone tells of the list, and asks for the whole of it where this one has just
@@ -314,11 +253,8 @@
                 Ok(()) => {
                     let mut desk = self.desk.borrow_mut();
                     desk.counters.lists_told += 1;
-                    (desk.roster.taken, desk.roster.failures) = (true, 0);
-                    if !desk.roster.asking && desk.roster.due.is_none() {
-                        let now = desk.clock.now();
-                        desk.ask_at(now);
-                    }
+                    desk.roster.taken = true;
+                    desk.follow_list();
                 }
                 Err(problem) => {
                     warn!(self.desk.borrow().log, "list of another balancer not understood"; "problem" => problem);
@@ -327,10 +263,17 @@
         }
         if takes_over {
             let mut desk = self.desk.borrow_mut();
-            desk.end_discovery(reasons::MOVED);
-            desk.roster.version = None;
-            let now = desk.clock.now();
-            desk.ask_at(now);
+            desk.ask_elsewhere();
+        }
+    }
+}
+
+impl Roster {
+    fn hang(&mut self, deadlines: &mut Deadlines) {
+        match self.following.deadline() {
+            Some(at) if self.due.is_some_and(|due| due.0 == at) => {}
+            Some(at) => deadlines.move_to(&mut self.due, at, Due::Discovery),
+            None => deadlines.clear(&mut self.due),
         }
     }
 }
@@ -338,50 +281,47 @@
 impl Desk {
     /// The module wants the list followed; on a later turn, as we are inside its call.
     pub fn follow_list(&mut self) {
-        // A watch that goes on needs no second call.
-        if !self.roster.asking && self.roster.due.is_none() {
-            self.ask_at(self.clock.now());
-        }
+        let now = self.clock.now();
+        self.roster.following.follow(now);
+        self.hang_discovery();
     }
 
-    fn ask_at(&mut self, at: Micros) {
-        self.deadlines.move_to(&mut self.roster.due, at, Due::Discovery);
+    fn hang_discovery(&mut self) {
+        self.roster.hang(&mut self.deadlines);
     }
 
-    /// Discovery is somewhere else, and may count its versions otherwise: it is asked for the whole list.
     pub fn discovery_moved(&mut self, address: SocketAddr) {
         self.place.discovery = address;
+        self.ask_elsewhere();
+    }
+
+    /// Whoever is asked from now on may count versions otherwise.
+    fn ask_elsewhere(&mut self) {
         self.end_discovery(reasons::MOVED);
-        self.roster.version = None;
-        self.ask_at(self.clock.now());
+        let now = self.clock.now();
+        self.roster.following.moved(now);
+        self.hang_discovery();
     }
 
-    /// An upstream that the list names as there refused a connection. A watch that has fallen silent would tell of
-    /// it only when it is overdue, so we ask anew.
+    /// An upstream that the list names as there refused a connection.
     pub fn doubt_list(&mut self) {
-        let after = DOUBT_AFTER << self.roster.doubts.min(DOUBT_DOUBLINGS);
-        if self.roster.asking && self.roster.connected && self.clock.now() >= self.roster.asked + after {
-            self.roster.doubts += 1;
-            self.end_discovery(reasons::DOUBTED);
-            self.ask_at(self.clock.now());
-        }
+        let (now, scatter) = (self.clock.now(), self.place.ask_scatter);
+        self.roster.following.doubt(now, scatter);
+        self.hang_discovery();
     }
 
     fn ask(&mut self) -> std::io::Result<()> {
-        let (path, wait) = match self.roster.version {
-            None => ("/registry/instances".to_owned(), QUEUED),
-            Some(version) => {
-                let wait = watch_wait(self.place.ask_within);
-                (format!("/registry/instances?since={version}&timeout_ms={}", wait / 1000), wait)
+        let (now, connected) = (self.clock.now(), self.roster.wired.is_some());
+        let watch = self.roster.following.ask(now, connected, self.place.ask_within, self.place.balancers);
+        let path = match watch {
+            None => "/registry/instances".to_owned(),
+            Some((version, wait)) => {
+                format!("/registry/instances?since={version}&timeout_ms={}", wait / 1000)
             }
         };
         let address = self.place.discovery;
         self.counters.lists_asked += 1;
-        self.roster.asking = true;
-        let now = self.clock.now();
-        (self.roster.asked, self.roster.overdue) = (now, now + wait + OVERDUE);
-        let connected = self.roster.wired.is_some();
-        self.ask_at(if connected { self.roster.overdue } else { now + CONNECT_WITHIN });
+        self.hang_discovery();
         let call = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         self.roster.outbox.push(Bytes::from(call));
         match &self.roster.wired {
@@ -397,10 +337,9 @@
 
     /// The connection ends, and with it the call that is out.
     pub fn end_discovery(&mut self, reason: &'static str) {
-        self.roster.asking = false;
+        self.roster.following.dropped();
         self.roster.inbox.forget();
         self.roster.outbox = Outbox::default();
-        self.roster.connected = false;
         if let Some(wired) = self.roster.wired.take() {
             self.handle.remove(wired.token);
             info!(self.log, "discovery ended"; "reason" => reason);
@@ -460,11 +399,6 @@
     }
 }
 
-fn watch_wait(ask_within: Option<Micros>) -> Micros {
-    let part = |within| (within as f64 * WATCH_PART) as Micros;
-    ask_within.map_or(WATCH_MOST, |within| part(within).min(WATCH_MOST))
-}
-
 type Found = (Vec<std::ops::Range<usize>>, usize, bool);
 
 /// The body of a whole answer, its end, and whether the connection lasts; nothing while part is missing.
