Attempts are worded when their bytes go: told time, client and deadline as they are then

By reading the same lines: an attempt waiting for its connection was written after its client had left or had its answer where the settings allow no calling off, and in the very turn in which its time ran out. A client's end behind more than 4 KiB of unread bytes was not seen at all while its request was open (edge-triggered, nothing read on): now asked of the socket (POLLRDHUP). Tests force each: the decision is taken, the world changes, then the loop turns. They fail without the mend. The test of unwritten attempts words its bytes itself now, as they no longer lie in the outbox before the connection stands; it asks for the same endings.

--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -1,14 +1,15 @@
 //! Clients' connections: reading, answering, closing.
 
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpStream};
 
 use bytes::Bytes;
 use pinefront::Micros;
+use rustix::event::PollFlags;
 use slog::info;
 
 use crate::life::reasons;
 use crate::life::serve::Node;
-use crate::memory::buffers::Inflow;
+use crate::memory::buffers::{Inflow, ready};
 use crate::memory::deadlines::Due;
 use crate::memory::desk::{Client, Desk};
 use crate::memory::slots::{ClientSlot, TicketSlot};
@@ -133,6 +134,10 @@
                 Look::Gone(reasons::CLIENT_CUT_SHORT)
             }
             Inflow::Ended => Look::Gone(reasons::CLIENT_CLOSED),
+            // Its end lies behind what we don't read while its ticket is open.
+            Inflow::Full if client.ticket.is_some() && hung_up(&client.wired.stream) => {
+                Look::Gone(reasons::CLIENT_CLOSED)
+            }
             Inflow::Broken => Look::Gone(reasons::CLIENT_RESET),
             Inflow::Dry | Inflow::Full if client.ending.is_some() => {
                 self.settle(slot);
@@ -277,6 +282,11 @@
     }
 }
 
+/// Whether the other side's sending is over, also where that lies behind bytes that are not read.
+fn hung_up(stream: &TcpStream) -> bool {
+    ready(stream, PollFlags::RDHUP).intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
+}
+
 /// Why a connection that we close closes.
 fn client_reason(client: &Client) -> &'static str {
     client.ending.unwrap_or(reasons::CLIENT_CLOSED)
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -316,3 +316,21 @@
     assert_eq!(stand.heard(&client, "ok").contains("Connection: close\r\n"), closes);
     assert_eq!(stand.node.desk.borrow().clients.contains_key(slot), !closes);
 }
+
+/// Between what we read ahead and the end that lies behind it: a client that sent on and left is seen to have gone.
+#[rstest]
+#[case::as_much_as_is_read(READ_AHEAD)]
+#[case::more(10 * READ_AHEAD)]
+fn a_client_that_leaves_behind_unread_bytes_is_seen_to_go(#[case] behind: usize) {
+    let mut stand = Stand::new();
+    let _upstream = stand.upstream("s1");
+    let (client, _) = stand.dispatched("t1", "s1", 60_000_000);
+    say(&client, &"x".repeat(behind));
+    stand.until(|node| {
+        let desk = node.desk.borrow();
+        desk.clients.values().any(|client| client.inbox.kept().len() >= READ_AHEAD).then_some(())
+    });
+    assert_eq!(stand.node.desk.borrow().counters.tickets_left, 0);
+    client.shutdown(Shutdown::Write).unwrap();
+    stand.until(|node| (node.desk.borrow().counters.tickets_left == 1).then_some(()));
+}
--- a/node/src/wire/hands.rs
+++ b/node/src/wire/hands.rs
@@ -8,7 +8,7 @@
 use crate::life::serve::Hands;
 use crate::memory::deadlines::Due;
 use crate::memory::desk::{Desk, Errand};
-use crate::memory::slots::TicketSlot;
+use crate::memory::slots::{LinkSlot, TicketSlot};
 
 impl Host for Hands {
     fn dispatch(&mut self, ticket: &str, upstream: &str, expire_at: Micros) {
@@ -125,30 +125,44 @@
                 return;
             }
         };
-        let Some(link) = self.links.get_mut(slot) else { return };
-        let address = self.upstreams.get(link.upstream).and_then(|upstream| upstream.address);
-        open.head.iter().for_each(|slice| link.outbox.push(slice.clone()));
-        let length: usize = open.body.iter().map(Bytes::len).sum();
-        let mut added = format!("X-Remaining-Ms: {}\r\n", (expire_at - now).div_ceil(1000));
-        if let Some(address) = address.filter(|_| !open.has_host) {
-            added += &format!("Host: {address}\r\n");
-        }
-        if length > 0 || open.has_body {
-            added += &format!("Content-Length: {length}\r\n");
-        }
-        link.outbox.push(Bytes::from(added + "\r\n"));
-        open.body.iter().for_each(|slice| link.outbox.push(slice.clone()));
         let connect_by = now + self.place.connect_timeout;
+        let Some(link) = self.links.get_mut(slot) else { return };
         link.errand = Some(Errand { ticket, number, sent: now, expire_at });
         if !link.connected {
             self.link_waits(slot, connect_by.min(expire_at));
             return;
         }
         self.counters.links_reused += 1;
+        self.word_attempt(slot);
+        let Some(link) = self.links.get_mut(slot) else { return };
         // What fails here is looked at on a later turn: we are inside a call of the module.
         if link.outbox.drain(&link.wired.stream).is_err() {
             self.deadlines.hang(now, Due::LinkTurn(slot));
         }
         self.link_waits(slot, expire_at);
     }
+
+    /// The bytes of the attempt that a connection carries. Worded when they can go, not when it was decided: a connection
+    /// may come up late, and what its upstream is told is what is left then. None are where nobody waits any more.
+    pub fn word_attempt(&mut self, slot: LinkSlot) -> bool {
+        let now = self.now();
+        let Some(link) = self.links.get_mut(slot) else { return false };
+        let Some(errand) = link.errand.as_ref().filter(|errand| now < errand.expire_at) else { return false };
+        let waited_for = self.tickets.get(errand.ticket).filter(|ticket| ticket.client.is_some());
+        let Some(open) = waited_for else { return false };
+        let address = self.upstreams.get(link.upstream).and_then(|upstream| upstream.address);
+        open.head.iter().for_each(|slice| link.outbox.push(slice.clone()));
+        let length: usize = open.body.iter().map(Bytes::len).sum();
+        let left = errand.expire_at.saturating_sub(now);
+        let mut added = format!("X-Remaining-Ms: {}\r\n", left.div_ceil(1000));
+        if let Some(address) = address.filter(|_| !open.has_host) {
+            added += &format!("Host: {address}\r\n");
+        }
+        if length > 0 || open.has_body {
+            added += &format!("Content-Length: {length}\r\n");
+        }
+        link.outbox.push(Bytes::from(added + "\r\n"));
+        open.body.iter().for_each(|slice| link.outbox.push(slice.clone()));
+        true
+    }
 }
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -190,8 +190,12 @@
             link.connected = true;
             if let Some(errand) = &link.errand {
                 self.deadlines.move_to(&mut link.due, errand.expire_at, Due::Link(slot));
+                if !errand.is_probe() && !self.word_attempt(slot) {
+                    return Look::Over(Ending::NeverSent, reasons::CLIENT_LEFT);
+                }
             }
         }
+        let Some(link) = self.links.get_mut(slot) else { return Look::Nothing };
         let written = link.outbox.drain(&link.wired.stream);
         let inflow = link.inbox.fill(&link.wired.stream, MESSAGE_MOST);
         if link.errand.is_none() {
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -99,6 +99,8 @@
     let slot = stand.node.desk.borrow().links.keys().next().unwrap();
     {
         let mut desk = stand.node.desk.borrow_mut();
+        // The bytes are worded when the connection has come up.
+        assert_eq!((desk.word_attempt(slot), desk.links[slot].outbox.is_empty()), (true, false));
         let link = &mut desk.links[slot];
         link.connected = connected;
         if written {
@@ -363,3 +365,48 @@
     let _after_it = next(&mut stand, &mut links);
     assert_eq!(endings(&stand), "succeeded 1");
 }
+
+/// Between the decision and the connection that comes up: time passed. settat-main, zone+brink, seed 3: 9 of 38 further
+/// attempts told more time than their clients had left.
+#[test]
+fn what_an_attempt_tells_is_what_is_left_when_its_bytes_go() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let (_client, _) = stand.dispatched("t1", "s1", LONG);
+    {
+        let mut desk = stand.node.desk.borrow_mut();
+        let now = desk.now();
+        let link = desk.links.values_mut().next().unwrap();
+        assert!(!link.connected && link.outbox.is_empty());
+        link.errand.as_mut().unwrap().expire_at = now + 300_000;
+    }
+    let link = stand.accepted(&upstream);
+    let heard = stand.heard(&link, "body");
+    let told = heard.split("X-Remaining-Ms: ").nth(1).and_then(|rest| rest.split('\r').next()).unwrap();
+    assert!((1..=300).contains(&told.parse::<u64>().unwrap()), "{heard}");
+}
+
+/// Between the decision and the connection that comes up: the client left, its ticket has its answer, or its time ran
+/// out in this very turn. The module may not be allowed to call anything off.
+#[rstest]
+#[case::client_left(|stand: &mut Stand| {
+    let slot = stand.node.desk.borrow().clients.keys().next().unwrap();
+    stand.node.client_gone(slot, reasons::CLIENT_CLOSED);
+})]
+#[case::answered(|stand: &mut Stand| Hands(stand.node.desk.clone()).abandon("t1"))]
+#[case::time_over(|stand: &mut Stand| {
+    let mut desk = stand.node.desk.borrow_mut();
+    let now = desk.now();
+    desk.links.values_mut().next().unwrap().errand.as_mut().unwrap().expire_at = now;
+})]
+fn nothing_is_written_for_whom_nobody_waits_any_more(#[case] meanwhile: fn(&mut Stand)) {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let (_client, _) = stand.dispatched("t1", "s1", LONG);
+    meanwhile(&mut stand);
+    let link = stand.accepted(&upstream);
+    let mut heard = [0];
+    assert_eq!(stand.until(|_| link.peek(&mut heard).ok()), 0);
+    stand.until(|node| node.desk.borrow().links.is_empty().then_some(()));
+    assert_eq!(stand.node.desk.borrow().counters.dispatches_never_sent, 1);
+}
