Refused connections no longer end a watch: what was told on it in that moment was lost

Cause: doubt_list() closed the connection on which discovery had just written the news; the call made instead waits for its turn, up to 2 s.

--- a/node/src/life/place.rs
+++ b/node/src/life/place.rs
@@ -51,8 +51,6 @@
     pub drain_grace: Micros,
     /// Set where the module asks for the list itself: the longest it may go without asking.
     pub ask_within: Option<Micros>,
-    /// Over how long balancers scatter calls for the list that one event would have all of them make.
-    pub ask_scatter: Micros,
     /// Answers hold load reports.
     pub loads_told: bool,
     /// Where an upstream tells its load when probed.
@@ -187,7 +185,6 @@
             connect_timeout: whole(caps, "connectTimeoutUs")?,
             drain_grace: whole(part(settings, "rules")?, "drainGraceUs")?,
             ask_within: terms.ask_within,
-            ask_scatter: terms.follow_spread().unwrap_or(0),
             loads_told: source == "inline",
             probe_path: probe_path(told, &terms)?,
             peers: peers(told, &terms)?,
--- a/node/src/life/reasons.rs
+++ b/node/src/life/reasons.rs
@@ -33,7 +33,6 @@
 pub const DISCOVERY_CLOSED: &str = "discovery_closed";
 pub const DISCOVERY_BROKEN: &str = "discovery_broken";
 pub const DISCOVERY_OVERDUE: &str = "discovery_overdue";
-pub const DOUBTED: &str = "doubted";
 pub const DISCOVERY_ERROR: &str = "discovery_error";
 
 // Any of them.
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -86,7 +86,6 @@
             Step::Nothing => return desk.hang_discovery(),
             Step::Ask => {}
             Step::AskAnew => desk.end_discovery(reasons::DISCOVERY_OVERDUE),
-            Step::Doubt => desk.end_discovery(reasons::DOUBTED),
             Step::GiveUp => {
                 drop(desk);
                 return self.call_failed(reasons::DISCOVERY_OVERDUE);
@@ -303,13 +302,6 @@
         self.hang_discovery();
     }
 
-    /// An upstream that the list names as there refused a connection.
-    pub fn doubt_list(&mut self) {
-        let (now, scatter) = (self.clock.now(), self.place.ask_scatter);
-        self.roster.following.doubt(now, scatter);
-        self.hang_discovery();
-    }
-
     fn ask(&mut self) -> std::io::Result<()> {
         let (now, connected) = (self.clock.now(), self.roster.wired.is_some());
         let watch = self.roster.following.ask(now, connected, self.place.ask_within, self.place.balancers);
--- a/node/src/wire/following.rs
+++ b/node/src/wire/following.rs
@@ -36,11 +36,6 @@
 const RETRY: (Micros, Micros) = (150_000, 1_500_000);
 /// The longest where lists are pushed: what discovery has counts as told at once when it is back.
 const RETRY_PUSHED: Micros = 200_000;
-/// How long a watch must be out before a refused connection casts doubt on it: discovery is one service for all,
-/// and its calls are dear. Doubled at each doubt that brought no news.
-const DOUBT_AFTER: Micros = 3_000_000;
-const DOUBT_DOUBLINGS: u32 = 3;
-
 /// The call that is out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Call {
@@ -57,8 +52,6 @@
     Ask,
     /// The watch that is out fell silent: its connection ends, and discovery is asked anew at once.
     AskAnew,
-    /// The same where it may not have fallen silent.
-    Doubt,
     /// The call that is out brings nothing any more: its connection ends, and the next call waits: tell [`Following::failed`].
     GiveUp,
 }
@@ -83,11 +76,7 @@
     overdue: Micros,
     /// When the next is due while none is out.
     next: Option<Micros>,
-    /// When the watch that is out is given up for a doubt.
-    doubted: Option<Micros>,
     failures: u32,
-    /// Doubts since the last list that told anything.
-    doubts: u32,
     /// What came last told something: others were told at the same moment.
     news: bool,
     chance: WyRand,
@@ -103,9 +92,7 @@
             asked: 0,
             overdue: 0,
             next: None,
-            doubted: None,
             failures: 0,
-            doubts: 0,
             news: true,
             chance: WyRand::new_seed(!seed),
         }
@@ -131,22 +118,12 @@
         self.failures
     }
 
-    #[cfg(test)]
-    pub fn doubted_in_vain(&mut self, times: u32) {
-        self.doubts = times;
-    }
-
-    #[cfg(test)]
-    pub fn doubts(&self) -> u32 {
-        self.doubts
-    }
-
     /// When [`Self::due`] is to be asked next.
     pub fn deadline(&self) -> Option<Micros> {
         match self.call {
             Call::None => self.next,
             Call::Connecting => Some(self.overdue.min(self.asked + CONNECT_WITHIN)),
-            Call::Out => Some(self.doubted.map_or(self.overdue, |at| at.min(self.overdue))),
+            Call::Out => Some(self.overdue),
         }
     }
 
@@ -155,7 +132,6 @@
             (Some(at), _) if now < at => Step::Nothing,
             (None, _) => Step::Nothing,
             (_, Call::None) => Step::Ask,
-            (_, Call::Out) if self.watches && now < self.overdue => Step::Doubt,
             // What changed counts as told from here on: a scattered wait as after a failed call comes too late.
             (_, Call::Out) if self.watches => Step::AskAnew,
             _ => Step::GiveUp,
@@ -174,7 +150,7 @@
         self.watches = connected && version.is_some();
         self.overdue = now + if self.watches { wait + LATE } else { TURN_WITHIN };
         self.call = if connected { Call::Out } else { Call::Connecting };
-        (self.asked, self.next, self.doubted) = (now, None, None);
+        (self.asked, self.next) = (now, None);
         version.map(|version| (version, wait))
     }
 
@@ -191,14 +167,11 @@
             Some(known) if !whole => self.known = Some(version).filter(|version| *version >= known),
             _ => (self.version, self.known) = (Some(version), None),
         }
-        if news {
-            self.doubts = 0;
-        }
     }
 
     /// The call that was out has its answer, and the watch goes on as long as the next call follows at once.
     pub fn answered(&mut self, now: Micros) {
-        (self.call, self.failures, self.doubted) = (Call::None, 0, None);
+        (self.call, self.failures) = (Call::None, 0);
         if !self.news && self.watches {
             self.known = None;
         }
@@ -211,12 +184,12 @@
         let wait = (RETRY.0 << self.failures.min(4)).min(most);
         let wait = wait / 2 + self.chance.generate_range(0..=wait / 2);
         self.failures += 1;
-        (self.call, self.doubted, self.next) = (Call::None, None, Some(now + wait));
+        (self.call, self.next) = (Call::None, Some(now + wait));
     }
 
     /// The call that was out, if any, is no more, and its connection neither.
     pub fn dropped(&mut self) {
-        (self.call, self.doubted) = (Call::None, None);
+        self.call = Call::None;
     }
 
     /// The list is to be followed; a watch that goes on needs no second call.
@@ -241,17 +214,6 @@
     pub fn only_known(&mut self) {
         (self.known, self.version) = (self.version, None);
     }
-
-    /// An upstream that the list names as there refused a connection. A watch that has fallen silent would tell of
-    /// it only when it is overdue, one that has not mostly does within the scatter: all balancers see the refusal,
-    /// and their calls together crowded discovery.
-    pub fn doubt(&mut self, now: Micros, scatter: Micros) {
-        let after = DOUBT_AFTER << self.doubts.min(DOUBT_DOUBLINGS);
-        if self.call == Call::Out && self.watches && now >= self.asked + after && self.doubted.is_none() {
-            self.doubts += 1;
-            self.doubted = Some(now + self.chance.generate_range(0..=scatter));
-        }
-    }
 }
 
 fn watch_wait(within: Option<Micros>, balancers: usize) -> Micros {
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -85,9 +85,6 @@
         let upstream = desk.links.get(slot).map(|link| link.upstream);
         let errand = desk.links.get_mut(slot).and_then(|link| link.errand.take());
         desk.end_link(slot, reason);
-        if reason == reasons::CONNECT_FAILED {
-            desk.doubt_list();
-        }
         drop(desk);
         if let Some(upstream) = errand.as_ref().filter(|errand| errand.is_probe()).and(upstream) {
             self.probe_over(upstream, false);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -462,7 +462,7 @@
 /// All asking at once would crowd a roster that does not grow with the fleet.
 #[rstest]
 fn a_large_fleet_spreads_its_asking_for_the_list() {
-    let spreads = [1, 4, 900].map(|balancers| one_of_many(0, balancers, 0).terms.follow_spread().unwrap());
+    let spreads = [1, 4, 900].map(|balancers| one_of_many(0, balancers, 0).follow_spread().unwrap());
     assert_eq!(spreads[0], 0);
     assert!(spreads[1] < 1_000 * MS && spreads[2] > 5_000 * MS && spreads[2] < 8_000 * MS);
 }
--- a/src/list.rs
+++ b/src/list.rs
@@ -8,34 +8,32 @@
 use crate::decide::FOLLOW_ALARM;
 use crate::fading::Mean;
 use crate::known::{Balancer, Upstream};
-use crate::{Host, Micros, Terms};
+use crate::{Host, Micros};
 
 /// Part of the time to ask for the list that a huge fleet spreads over, and balancers that take half of it.
 const FOLLOW: (f64, f64) = (0.8, 32.0);
 /// How long a machine that left is known: one that comes back from a crash is as quick as before.
 const KNOWN_FOR: Micros = 60_000_000;
 
-impl Terms {
-    /// Over how long the balancers spread asking for the list, or they would crowd the roster.
-    pub fn follow_spread(&self) -> Option<Micros> {
-        let others = self.balancers as f64 - 1.0;
-        self.ask_within.map(|within| (FOLLOW.0 * within as f64 * others / (others + FOLLOW.1)) as Micros)
-    }
-}
-
 impl<H: Host> Balancer<H> {
     /// Asks for the list for the first time, where it has to be asked for.
     pub(crate) fn begin_following(&mut self) {
-        match self.terms.follow_spread() {
+        match self.follow_spread() {
             Some(0) => self.host.follow_list(),
             Some(spread) => self.host.wake(self.chance.generate_range(0..=spread), FOLLOW_ALARM),
             None => {}
         }
     }
 
+    /// Over how long the balancers spread asking for the list, or they would crowd the roster.
+    pub(crate) fn follow_spread(&self) -> Option<Micros> {
+        let others = self.terms.balancers as f64 - 1.0;
+        self.terms.ask_within.map(|w| (FOLLOW.0 * w as f64 * others / (others + FOLLOW.1)) as Micros)
+    }
+
     /// The list failed or broke: the previous one stands, and we ask anew after a growing, scattered wait.
     pub fn list_failed(&mut self) {
-        let Some((within, spread)) = self.terms.ask_within.zip(self.terms.follow_spread()) else { return };
+        let Some((within, spread)) = self.terms.ask_within.zip(self.follow_spread()) else { return };
         let wait = spread.max((within / 64) << self.failed_follows.min(4)) as f64;
         self.failed_follows += 1;
         self.host.wake((wait * (0.5 + self.chance.generate::<f64>() / 2.0)) as Micros, FOLLOW_ALARM);
