Reading again: one clock reading for an attempt, a bound back in its test, no copy of a turn

- word_attempt read the clock anew after dispatch had: an attempt whose time ran out between the two was not worded, and its end would have been told as silent, as if it may have run.
It takes the caller's moment now.
- In following's tests the taking of a call's turn stood twice; what tests on sockets need of Following lies in the test file.

--- a/node/src/wire/following.rs
+++ b/node/src/wire/following.rs
@@ -36,6 +36,7 @@
 const RETRY: (Micros, Micros) = (150_000, 1_500_000);
 /// The longest where lists are pushed: what discovery has counts as told at once when it is back.
 const RETRY_PUSHED: Micros = 200_000;
+
 /// The call that is out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Call {
@@ -52,7 +53,8 @@
     Ask,
     /// The watch that is out fell silent: its connection ends, and discovery is asked anew at once.
     AskAnew,
-    /// The call that is out brings nothing any more: its connection ends, and the next call waits: tell [`Following::failed`].
+    /// The call that is out brings nothing any more: its connection ends, and the next call waits, as
+    /// [`Following::failed`] says.
     GiveUp,
 }
 
@@ -102,18 +104,6 @@
         self.call != Call::None
     }
 
-    #[cfg(test)]
-    pub fn asked(&self) -> Micros {
-        self.asked
-    }
-
-    /// As if the call that is out had been made so much earlier.
-    #[cfg(test)]
-    pub fn made_before(&mut self, micros: Micros) {
-        self.asked -= micros;
-        self.overdue -= micros;
-    }
-
     pub fn failures(&self) -> u32 {
         self.failures
     }
--- a/node/src/wire/following/tests.rs
+++ b/node/src/wire/following/tests.rs
@@ -14,6 +14,19 @@
 /// Within this a call for changes goes on where the last such ended, and waits for no turn.
 const GOES_ON: Micros = 200 * MS;
 
+/// For tests on sockets too.
+impl Following {
+    pub fn asked(&self) -> Micros {
+        self.asked
+    }
+
+    /// As if the call that is out had been made so much earlier.
+    pub fn made_before(&mut self, micros: Micros) {
+        self.asked -= micros;
+        self.overdue -= micros;
+    }
+}
+
 /// What becomes of calls at discovery.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Way {
@@ -139,6 +152,13 @@
         self.answered.is_some_and(|at| out.sent <= at + GOES_ON)
     }
 
+    /// The call that is out has arrived, and has its turn then.
+    fn taken(&mut self, turn: Micros) {
+        self.connected = true;
+        self.following.connected();
+        self.out.iter_mut().for_each(|out| out.turn = Some(turn));
+    }
+
     /// What comes of the call that is out.
     fn call(&mut self) {
         let Some(out) = &self.out else { return };
@@ -153,12 +173,8 @@
                 Way::Refused | Way::Crowded => return self.fail(),
                 Way::Open => {}
             }
-            self.connected = true;
-            self.following.connected();
             let waits = if goes_on { 0 } else { self.chance.generate_range(0..=TURN) };
-            let now = self.now;
-            self.out.iter_mut().for_each(|out| out.turn = Some(now + waits));
-            return;
+            return self.taken(self.now + waits);
         }
         let Some(Out { since, wait, turn: Some(turn), .. }) = self.out else { return };
         let over = since.is_none_or(|since| since < self.version) || self.now >= turn + wait;
@@ -224,9 +240,7 @@
     for seed in 0..400 {
         let mut world = World::new(seed, balancers);
         (world.turns, world.silence, world.change) = (SECOND, SECOND, SECOND);
-        world.run(200 * SECOND, |world| {
-            in_bound(world, seed);
-        });
+        world.run(200 * SECOND, |world| in_bound(world, seed));
         assert!(world.longest <= WATCH_MOST, "seed {seed}");
     }
 }
@@ -296,10 +310,7 @@
                 world.fail();
             } else if arrives {
                 free = if goes_on { free } else { free.max(now) + WORK };
-                let turn = if goes_on { now } else { free };
-                world.connected = true;
-                world.following.connected();
-                world.out.iter_mut().for_each(|out| out.turn = Some(turn));
+                world.taken(if goes_on { now } else { free });
             } else {
                 world.call();
             }
@@ -321,6 +332,9 @@
     #[case] within: Option<Micros>, #[case] balancers: usize, #[case] wait: Micros,
 ) {
     assert_eq!(watch_wait(within, balancers), wait);
+    // Where the fleet does not ask for more, the next call comes before discovery counts us as told.
+    let large = |within: Micros| balancers as u64 * RUN_OUT_APART > within;
+    assert!(within.is_none_or(|within| large(within) || wait + LATE + CONNECT_WITHIN <= within));
 }
 
 /// The list that we were started with may be another discovery's: the whole of it is asked for when there is time.
--- a/node/src/wire/hands.rs
+++ b/node/src/wire/hands.rs
@@ -133,7 +133,7 @@
             return;
         }
         self.counters.links_reused += 1;
-        self.word_attempt(slot);
+        self.word_attempt(slot, now);
         let Some(link) = self.links.get_mut(slot) else { return };
         // What fails here is looked at on a later turn: we are inside a call of the module.
         if link.outbox.drain(&link.wired.stream).is_err() {
@@ -144,8 +144,7 @@
 
     /// The bytes of the attempt that a connection carries. Worded when they can go, not when it was decided: a connection
     /// may come up late, and what its upstream is told is what is left then. None are where nobody waits any more.
-    pub fn word_attempt(&mut self, slot: LinkSlot) -> bool {
-        let now = self.now();
+    pub fn word_attempt(&mut self, slot: LinkSlot, now: Micros) -> bool {
         let Some(link) = self.links.get_mut(slot) else { return false };
         let Some(errand) = link.errand.as_ref().filter(|errand| now < errand.expire_at) else { return false };
         let waited_for = self.tickets.get(errand.ticket).filter(|ticket| ticket.client.is_some());
@@ -153,8 +152,7 @@
         let address = self.upstreams.get(link.upstream).and_then(|upstream| upstream.address);
         open.head.iter().for_each(|slice| link.outbox.push(slice.clone()));
         let length: usize = open.body.iter().map(Bytes::len).sum();
-        let left = errand.expire_at.saturating_sub(now);
-        let mut added = format!("X-Remaining-Ms: {}\r\n", left.div_ceil(1000));
+        let mut added = format!("X-Remaining-Ms: {}\r\n", (errand.expire_at - now).div_ceil(1000));
         if let Some(address) = address.filter(|_| !open.has_host) {
             added += &format!("Host: {address}\r\n");
         }
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -187,7 +187,7 @@
             link.connected = true;
             if let Some(errand) = &link.errand {
                 self.deadlines.move_to(&mut link.due, errand.expire_at, Due::Link(slot));
-                if !errand.is_probe() && !self.word_attempt(slot) {
+                if !errand.is_probe() && !self.word_attempt(slot, now) {
                     return Look::Over(Ending::NeverSent, reasons::CLIENT_LEFT);
                 }
             }
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -100,7 +100,8 @@
     {
         let mut desk = stand.node.desk.borrow_mut();
         // The bytes are worded when the connection has come up.
-        assert_eq!((desk.word_attempt(slot), desk.links[slot].outbox.is_empty()), (true, false));
+        let now = desk.now();
+        assert_eq!((desk.word_attempt(slot, now), desk.links[slot].outbox.is_empty()), (true, false));
         let link = &mut desk.links[slot];
         link.connected = connected;
         if written {
