An answer that states no length is whole when its connection ends in order

Cause: `whole_answer` took no 200 without a length for whole, as nothing tells a body that ended from one that was cut short.

Change: the end of the connection ends such an answer; a reset, also one whose report a failed write has taken, does not.

--- a/node/src/wire/answers.rs
+++ b/node/src/wire/answers.rs
@@ -80,7 +80,8 @@
     }
 }
 
-/// The whole answer at the front of an inbox; `Nothing` while part is missing, none for nonsense.
+/// The whole answer at the front of an inbox; `Nothing` while part is missing, none for nonsense. `ended` says that the
+/// connection ended in order, which is the end of an answer that states no length; a reset is none.
 pub fn whole_answer(inbox: &mut Inbox, ended: bool) -> Option<Look> {
     for _ in 0..=WORDS_MOST {
         let kept = inbox.kept();
@@ -106,10 +107,6 @@
         };
         let lasts = heads::lasts(&response, framing);
         return match heads::body(kept, head, framing, ended, BODY_MOST) {
-            // Nothing tells a body that ended from one that was cut short.
-            Body::Whole(..) if framing == Framing::Unsaid && response.code == Some(200) => {
-                Some(Look::Nothing)
-            }
             Body::Whole(ranges, end) => Some(Look::Answer(head, ranges, end, lasts)),
             Body::Partial if kept.len() < MESSAGE_MOST => Some(Look::Nothing),
             Body::Partial | Body::TooLong | Body::Nonsense => None,
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -202,7 +202,9 @@
             };
         }
         let broken = written.is_err() || matches!(inflow, Inflow::Ended | Inflow::Broken);
-        match whole_answer(&mut link.inbox, inflow == Inflow::Ended) {
+        // A write that fails takes the report of a reset with it: what is read then looks like an orderly end.
+        let ended = inflow == Inflow::Ended && written.is_ok();
+        match whole_answer(&mut link.inbox, ended) {
             Some(Look::Nothing) | None if broken && link.outbox.is_empty() => {
                 Look::Over(Ending::Broken, reasons::LINK_BROKEN)
             }
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -63,7 +63,6 @@
 #[rstest]
 #[case::nothing("", "broken 1")]
 #[case::half_a_body("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab", "broken 1")]
-#[case::nobody_knows_whether_whole("HTTP/1.1 200 OK\r\n\r\nab", "broken 1")]
 #[case::turned_away_to_the_end("HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\n\r\nno", "turned_away 1")]
 fn a_connection_that_ends_after_the_last_byte_may_have_run(#[case] answer: &str, #[case] ending: &str) {
     let mut stand = Stand::new();
@@ -412,6 +411,23 @@
     assert_eq!(stand.node.desk.borrow().counters.dispatches_never_sent, 1);
 }
 
+/// Nobody can tell whether it was whole.
+#[test]
+fn an_answer_without_a_length_that_is_reset_is_broken() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let _client = stand.dispatched("t1", "s1", LONG);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    say(&link, "HTTP/1.1 200 OK\r\n\r\nserv");
+    stand.until(|node| {
+        node.desk.borrow().links.values().any(|link| !link.inbox.kept().is_empty()).then_some(())
+    });
+    socket2::SockRef::from(&link).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+    drop(link);
+    assert_eq!(ended(&mut stand), "broken 1");
+}
+
 /// An answer that states no length ends with its connection. A reset is no such end.
 #[test]
 fn an_answer_without_a_length_is_whole_when_its_connection_ends() {
