What was read of a client is answered before its connection closes, whoever closes it

Cause: read by path, for the rule that a request read and then closed with no answer is lost. (1) `Desk::answer` in a crowd and `write_answer` while closing set the ending, and `finish` forgot requests read ahead. (2) `make_room` ended connections that held bytes nobody had looked at. (3) The stop did not wait for half requests. (4) `GIVE_UP` ended requests whose deadline is over 10 s. (5) A half request on a used connection had 10 s to its error, where 3 s are owed. (6) Accept errors that are nobody's fault (ENOBUFS, EPROTO, ENETDOWN) ended a resting client. (7) With all clients busy, `make_room` dropped an idle connection to an upstream and a client beyond the most was taken; the upstreams' was opened again later, so all together went over the limit of descriptors.

Change: no ending is announced over bytes read ahead; while closing, what is here is answered and begun requests are read on for 0.5 s, then answered 503. Only EMFILE ends connections of ours; the system's shortages rest accepting, and troubles of the one connection pass over it. A client that stops in the middle has 2.3 s for each step, 10 s in all.

--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -99,6 +99,7 @@
         counters: Counters::default(),
         stopping: None,
         closing: false,
+        accept_rests: false,
         shortage_told: 0,
         turn: Turn::default(),
     }));
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -7,7 +7,7 @@
 use crate::life::reasons;
 use crate::life::serve::Node;
 use crate::memory::deadlines::Due;
-use crate::memory::desk::Desk;
+use crate::memory::desk::{Client, Desk};
 
 #[cfg(test)]
 mod tests;
@@ -18,9 +18,11 @@
 /// of a zone there is no other to go to. What is taken by then has its answer within its own time, and whoever ends
 /// us allows 0.7 s more than the longest of those. Who opens a connection last has this much to send its request.
 const SERVE_ON: Micros = 600_000;
+/// How long requests of which part is here are then read on.
+const REST_WITHIN: Micros = 500_000;
 /// How often we look whether all is answered.
 const LOOK_EVERY: Micros = 20_000;
-/// When we end whatever is left: no ticket may wait that long.
+/// When we end whatever is left but requests: those have deadlines of their own, which other customers set longer.
 const GIVE_UP: Micros = 10_000_000;
 
 impl Node {
@@ -62,10 +64,15 @@
             desk.closing = true;
             desk.close_idle_clients();
         }
+        if since >= SERVE_ON + REST_WITHIN {
+            desk.turn_off_unfinished();
+        }
         // Those whose end is under way have little time left, and close by themselves.
-        let waiting = desk.clients.values().any(|client| client.is_owed() || client.lingers);
+        let waits = |client: &Client| client.is_owed() || client.lingers || !client.inbox.kept().is_empty();
+        let waiting = desk.clients.values().any(waits);
+        let unanswered = desk.tickets.values().any(|ticket| ticket.client.is_some());
         let done = since >= SERVE_ON && !waiting && desk.listener.is_none();
-        if done || since >= GIVE_UP {
+        if done || (since >= GIVE_UP && !unanswered) {
             info!(desk.log, "stopped"; "unanswered" => desk.tickets.len());
             self.over = true;
             return;
--- a/node/src/life/stop/tests.rs
+++ b/node/src/life/stop/tests.rs
@@ -81,3 +81,54 @@
     assert!(heard.ends_with("live\n"), "{heard}");
     assert_eq!(stand.node.desk.borrow().counters.tickets_taken, 0);
 }
+
+/// Half a request when the connections close is read on; what never comes whole is answered, and nothing is left open.
+#[rstest]
+#[case::goes_on(true)]
+#[case::stops_there(false)]
+fn a_stop_waits_for_requests_that_have_begun(#[case] goes_on: bool) {
+    let mut stand = Stand::new();
+    let upstream = stand.upstreams();
+    let (client, slot) = stand.client();
+    let text = message("t1", "body");
+    say(&client, &text[..40]);
+    stand.until(|node| node.desk.borrow().clients[slot].partial.map(|_| ()));
+    stand.node.signalled(Signal::SIGTERM);
+    let began = stand.node.desk.borrow().now() - SERVE_ON;
+    stand.node.desk.borrow_mut().stopping = Some(began);
+    stand.until(|node| node.desk.borrow().closing.then_some(()));
+    assert!(!stand.node.over);
+    if goes_on {
+        say(&client, &text[40..]);
+        let link = stand.accepted(&upstream);
+        stand.heard(&link, "body");
+        say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assert!(stand.heard(&client, "ok").contains("Connection: close"));
+    } else {
+        stand.node.desk.borrow_mut().stopping = Some(began - REST_WITHIN);
+        let heard = stand.heard(&client, "\r\n\r\n");
+        assert!(heard.starts_with("HTTP/1.1 503 ") && heard.contains("Connection: close"), "{heard}");
+    }
+    stand.ends(&client);
+    drop(client);
+    stand.until(|node| node.over.then_some(()));
+}
+
+/// Other customers' requests may take longer than any stop of ours: they have their own deadlines.
+#[test]
+fn a_stop_does_not_give_up_requests_whose_deadline_is_far() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let (client, _) = stand.dispatched("t1", "s1", 30_000_000);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    stand.node.signalled(Signal::SIGTERM);
+    let began = stand.node.desk.borrow().now() - GIVE_UP;
+    stand.node.desk.borrow_mut().stopping = Some(began);
+    stand.node.stop_on();
+    assert!(!stand.node.over);
+    say(&link, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    stand.heard(&client, "ok");
+    drop(client);
+    stand.until(|node| node.over.then_some(()));
+}
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -57,8 +57,8 @@
     /// When it was opened, and how many tickets it has brought.
     pub opened: Micros,
     pub tickets: u64,
-    /// Its deadline is about a request of which part is here.
-    pub partial: bool,
+    /// Bytes that are here of a request of which part is missing, and since when.
+    pub partial: Option<Partial>,
     /// Bytes read away since our sending was over.
     pub read_away: usize,
     /// Why it ends once all is written.
@@ -72,11 +72,23 @@
     pub due: Option<deadlines::Place>,
 }
 
+/// Part of a request, as it was last looked at.
+#[derive(Clone, Copy)]
+pub struct Partial {
+    pub length: usize,
+    pub began: Micros,
+}
+
 impl Client {
     /// Whether it waits for an answer or for the rest of one.
     pub fn is_owed(&self) -> bool {
         self.ticket.is_some() || !self.outbox.is_empty()
     }
+
+    /// Whether bytes are here that nobody has looked at yet: they may hold a whole request, which is owed an answer.
+    pub fn holds_unseen(&self) -> bool {
+        !self.inbox.kept().is_empty() && self.partial.is_none()
+    }
 }
 
 /// What a connection to an upstream carries: a dispatch, or a probe, which is of no ticket.
@@ -156,6 +168,8 @@
     pub stopping: Option<Micros>,
     /// Connections close between tickets, as the stop has gone so far.
     pub closing: bool,
+    /// Accepting is paused for want of descriptors.
+    pub accept_rests: bool,
     /// When the log was last told that no descriptor is left for an upstream.
     pub shortage_told: Micros,
     pub turn: Turn,
--- a/node/src/wire/accepting.rs
+++ b/node/src/wire/accepting.rs
@@ -1,11 +1,11 @@
 //! The listener: taking clients in, and making room for them.
 
-use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 
 use pinefront::Micros;
 use rustix::event::PollFlags;
+use rustix::io::Errno;
 use slog::warn;
 
 use crate::life::reasons;
@@ -24,10 +24,45 @@
 /// How long a client may take to go on with what it began before it is taken for one that keeps us waiting.
 const ABOUT_TO_SEND: Micros = 1_000_000;
 
+/// What a failed accept says.
+#[derive(Debug, PartialEq, Eq)]
+enum AcceptFailure {
+    /// Nobody waits.
+    Nobody,
+    /// Of the one connection that was to be accepted, or of nothing: the next may do.
+    Passing,
+    /// This process may hold no further descriptor.
+    OwnLimit,
+    /// The system is short of something for the moment: ending connections of ours would not help.
+    System,
+}
+
+/// As accept(2) lists them: what is wrong on the network is told of the connection that was to be accepted.
+fn accept_failure(problem: &std::io::Error) -> AcceptFailure {
+    let Some(code) = Errno::from_io_error(problem) else { return AcceptFailure::System };
+    match code {
+        Errno::AGAIN => AcceptFailure::Nobody,
+        Errno::INTR
+        | Errno::CONNABORTED
+        | Errno::PROTO
+        | Errno::NOPROTOOPT
+        | Errno::NETDOWN
+        | Errno::NETUNREACH
+        | Errno::HOSTDOWN
+        | Errno::HOSTUNREACH
+        | Errno::NONET
+        | Errno::OPNOTSUPP
+        | Errno::TIMEDOUT
+        | Errno::PERM => AcceptFailure::Passing,
+        Errno::MFILE => AcceptFailure::OwnLimit,
+        _ => AcceptFailure::System,
+    }
+}
+
 impl Node {
     /// Takes in what the listener has; true where more may be waiting.
     pub fn accept(&mut self) -> bool {
-        let mut failed = false;
+        let mut made_room = false;
         for _ in 0..ACCEPT_AT_ONCE {
             let mut desk = self.desk.borrow_mut();
             let Some(listener) = desk.listener.as_ref().map(|(listener, _)| Rc::clone(listener)) else {
@@ -38,26 +73,31 @@
                 if !one_waits(&listener) {
                     return false;
                 }
-                if !desk.make_room() {
+                if !desk.end_resting_client() {
                     desk.rest_accepting();
                     return false;
                 }
             }
-            match listener.accept() {
-                Ok((stream, peer)) => desk.welcome(stream, peer),
-                Err(problem) if problem.kind() == ErrorKind::WouldBlock => return false,
-                Err(problem) if problem.kind() == ErrorKind::Interrupted => {}
-                Err(problem) if problem.kind() == ErrorKind::ConnectionAborted => {}
-                Err(problem) => {
+            let problem = match listener.accept() {
+                Ok((stream, peer)) => {
+                    desk.welcome(stream, peer);
+                    continue;
+                }
+                Err(problem) => problem,
+            };
+            match accept_failure(&problem) {
+                AcceptFailure::Nobody => return false,
+                AcceptFailure::Passing => desk.counters.accepts_failed += 1,
+                failure => {
                     desk.counters.accepts_failed += 1;
                     warn!(desk.log, "accept failed"; "problem" => %problem);
-                    // Out of descriptors: what lies in the backlog counts as taken, so an idle one gives way. If
-                    // that did not help, ending more of them would not either.
-                    if failed || !desk.make_room() {
+                    // What lies in the backlog counts as taken, so an idle connection gives way for it. If that did
+                    // not help, ending more of them would not either.
+                    if made_room || failure == AcceptFailure::System || !desk.make_room() {
                         desk.rest_accepting();
                         return false;
                     }
-                    failed = true;
+                    made_room = true;
                 }
             }
         }
@@ -80,7 +120,7 @@
                     answered: 0,
                     opened: self.clock.now(),
                     tickets: 0,
-                    partial: false,
+                    partial: None,
                     read_away: 0,
                     ending: None,
                     lingers: false,
@@ -103,35 +143,38 @@
         }
     }
 
-    /// Closes the client's connection that has kept us waiting for longest, between tickets or with part of a
-    /// request, or else an idle one to an upstream.
-    pub fn make_room(&mut self) -> bool {
+    /// Frees a descriptor: a client's connection that keeps us waiting, or else an idle one to an upstream.
+    fn make_room(&mut self) -> bool {
+        self.end_resting_client() || self.drop_idle_link()
+    }
+
+    /// Closes the client's connection that has kept us waiting for longest, between tickets or with part of a request.
+    fn end_resting_client(&mut self) -> bool {
         // What lies unread in the socket may be a whole request, and then it is taken.
         let unread = |client: &Client| client.wired.stream.peek(&mut [0]).is_ok_and(|count| count > 0);
         let now = self.clock.now();
         // Whoever opened a connection or began a request just now is about to go on with it.
         let begun = |client: &Client| client.answered == 0 || !client.inbox.kept().is_empty();
         let last = |client: &Client| (begun(client) && now < client.since + ABOUT_TO_SEND, client.since);
-        let mut waiting: Vec<_> = self.clients.iter().filter(|(_, client)| !client.is_owed()).collect();
+        let rests = |client: &Client| !client.is_owed() && !client.holds_unseen();
+        let mut waiting: Vec<_> = self.clients.iter().filter(|(_, client)| rests(client)).collect();
         waiting.sort_by_key(|(_, client)| last(client));
-        match waiting.into_iter().find(|(_, client)| !unread(client)).map(|(slot, _)| slot) {
-            Some(slot) => self.end_client(slot, reasons::MADE_ROOM),
-            None => return self.drop_idle_link(),
-        }
-        true
+        let first = waiting.into_iter().find(|(_, client)| !unread(client)).map(|(slot, _)| slot);
+        first.inspect(|slot| self.end_client(*slot, reasons::MADE_ROOM)).is_some()
     }
 
     fn rest_accepting(&mut self) {
-        if let Some((_, token)) = &self.listener {
-            if let Err(problem) = self.handle.disable(token) {
-                warn!(self.log, "cannot rest accepting"; "problem" => %problem);
-            }
-            self.deadlines.hang(self.clock.now() + ACCEPT_REST, Due::Accept);
+        let Some((_, token)) = self.listener.as_ref().filter(|_| !self.accept_rests) else { return };
+        if let Err(problem) = self.handle.disable(token) {
+            warn!(self.log, "cannot rest accepting"; "problem" => %problem);
         }
+        self.accept_rests = true;
+        self.deadlines.hang(self.clock.now() + ACCEPT_REST, Due::Accept);
     }
 
     pub fn accept_again(&mut self) {
-        if let Some((_, token)) = &self.listener
+        let rested = std::mem::take(&mut self.accept_rests);
+        if let Some((_, token)) = self.listener.as_ref().filter(|_| rested)
             && let Err(problem) = self.handle.enable(token)
         {
             warn!(self.log, "cannot accept again"; "problem" => %problem);
--- a/node/src/wire/accepting/tests.rs
+++ b/node/src/wire/accepting/tests.rs
@@ -86,3 +86,59 @@
     say(&third, "GET /health/live HTTP/1.1\r\n\r\n");
     assert!(stand.heard(&third, "live\n").starts_with("HTTP/1.1 200 "));
 }
+
+/// A request that was read and not yet looked at is owed its answer.
+#[test]
+fn who_has_sent_what_nobody_has_looked_at_does_not_give_way() {
+    let mut stand = Stand::new();
+    let (client, slot) = stands(&mut stand, (1, "", 3 * SECOND));
+    say(&client, "GET /health/live HTTP/1.1\r\n\r\n");
+    let mut desk = stand.node.desk.borrow_mut();
+    while desk.clients[slot].inbox.kept().is_empty() {
+        let client = &mut desk.clients[slot];
+        let _ = client.inbox.fill(&client.wired.stream, 4096);
+    }
+    assert!(!desk.make_room());
+    drop(desk);
+    stand.node.client_ready(slot);
+    assert!(stand.heard(&client, "live\n").starts_with("HTTP/1.1 200 "));
+}
+
+/// Idle connections to upstreams are room for others of these only: for each that gave way to a client beyond the most, a
+/// new one was opened later, and all together went over the limit of descriptors.
+#[test]
+fn idle_connections_to_upstreams_make_no_room_for_clients_beyond_the_most() {
+    let mut stand = Stand::new();
+    let upstream = stand.upstream("s1");
+    let (_client, _) = stand.dispatched("t0", "s1", 60 * SECOND);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    say(&link, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    stand.until(|node| (node.desk.borrow().counters.dispatches_failed == 1).then_some(()));
+    let (_busy, _) = stand.dispatched("t1", "s1", 60 * SECOND);
+    let (busy, _) = stand.dispatched("t2", "s1", 60 * SECOND);
+    let most = stand.node.desk.borrow().clients.len();
+    stand.node.desk.borrow_mut().place.clients_most = most;
+    let waiting = TcpStream::connect(stand.address).unwrap();
+    let links = stand.node.desk.borrow().links.len();
+    // The first client's ticket is open too: nobody rests.
+    while !one_waits(&stand.node.desk.borrow().listener.as_ref().unwrap().0) {}
+    assert!(!stand.node.accept());
+    let desk = stand.node.desk.borrow();
+    assert_eq!((desk.clients.len(), desk.links.len()), (most, links));
+    drop((waiting, busy));
+}
+
+#[rstest]
+#[case::nobody(Errno::AGAIN, AcceptFailure::Nobody)]
+#[case::left_the_queue(Errno::CONNABORTED, AcceptFailure::Passing)]
+#[case::network_down(Errno::NETDOWN, AcceptFailure::Passing)]
+#[case::protocol(Errno::PROTO, AcceptFailure::Passing)]
+#[case::signal(Errno::INTR, AcceptFailure::Passing)]
+#[case::own_limit(Errno::MFILE, AcceptFailure::OwnLimit)]
+#[case::files_of_all(Errno::NFILE, AcceptFailure::System)]
+#[case::buffers(Errno::NOBUFS, AcceptFailure::System)]
+#[case::memory(Errno::NOMEM, AcceptFailure::System)]
+fn only_the_limit_of_our_own_ends_connections_of_ours(#[case] code: Errno, #[case] wanted: AcceptFailure) {
+    assert_eq!(accept_failure(&code.into()), wanted);
+}
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -11,7 +11,7 @@
 use crate::life::serve::Node;
 use crate::memory::buffers::{Inflow, ready};
 use crate::memory::deadlines::Due;
-use crate::memory::desk::{Client, Desk};
+use crate::memory::desk::{Client, Desk, Partial};
 use crate::memory::slots::{ClientSlot, TicketSlot};
 use crate::wire::heads::MESSAGE_MOST;
 
@@ -20,9 +20,9 @@
 
 /// How long a request may be under way, and an answer before the client has taken it all.
 const SLOW_AFTER: Micros = 10_000_000;
-/// How long after connecting the first ticket may take to be here whole: clients that open a connection have
-/// something to send, and whoever has sent none by then is a bad client or none at all.
-const FIRST_WITHIN: Micros = 2_300_000;
+/// How long a client may stop in the middle of a request, and how long after connecting the first may take to be here
+/// whole: bad clients are owed their error or close within 3 s, and a look may come late.
+const STOPS_FOR: Micros = 2_300_000;
 /// How long a connection may stand between tickets: a client that vanished says nothing.
 const IDLE_MOST: Micros = 120_000_000;
 /// How long it may stand at the least. Where many stand, those that want to send need the room.
@@ -119,7 +119,13 @@
         }
         let waits = client.is_owed();
         let most = if waits { READ_AHEAD } else { MESSAGE_MOST };
-        let inflow = client.inbox.fill(&client.wired.stream, most);
+        // While we close, what is here is answered and begun requests are read on, but no further one is begun: of a
+        // client that always has a next one there would be no end.
+        let inflow = match self.closing && !client.lingers && (waits || client.holds_unseen()) {
+            true if client.ticket.is_some() && hung_up(&client.wired.stream) => Inflow::Ended,
+            true => Inflow::Dry,
+            false => client.inbox.fill(&client.wired.stream, most),
+        };
         if client.lingers {
             return match inflow {
                 Inflow::Dry => Look::Nothing,
@@ -167,12 +173,17 @@
         self.wait_for_more(slot, IDLE_LEAST);
     }
 
-    /// Part of a request is here: from its first bytes on its time runs, however it trickles in.
+    /// Part of a request is here. Its sender may stop for so long, and take so long in all, however it trickles in.
     pub fn wait_for_rest(&mut self, slot: ClientSlot) {
+        let now = self.clock.now();
         let Some(client) = self.clients.get_mut(slot) else { return };
-        // What was hung while the connection stood is over.
-        if !std::mem::replace(&mut client.partial, true) {
-            self.wait_for_more(slot, SLOW_AFTER);
+        let length = client.inbox.kept().len();
+        let began = client.partial.map_or(now, |partial| partial.began);
+        let before = client.partial.replace(Partial { length, began });
+        // A connection that has brought no ticket yet gains no time by trickling.
+        let goes_on = |before: Partial| before.length < length && client.tickets > 0;
+        if before.is_none_or(goes_on) {
+            self.wait_for_more(slot, STOPS_FOR.min((began + SLOW_AFTER).saturating_sub(now)));
         }
     }
 
@@ -181,7 +192,7 @@
         let now = self.clock.now();
         if let Some(client) = self.clients.get_mut(slot) {
             client.since = now;
-            let by = if client.tickets == 0 { client.opened + FIRST_WITHIN } else { now + how_long };
+            let by = if client.tickets == 0 { client.opened + STOPS_FOR } else { now + how_long };
             self.deadlines.move_to(&mut client.due, by, Due::Client(slot));
         }
     }
@@ -191,7 +202,8 @@
         let Some((_, slot)) = self.release(ticket) else { return };
         // Many clients ask once and keep their connection: where there is a crowd, none is kept.
         let crowd = self.clients.values().filter(|client| client.tickets > 0).count() > self.place.crowd;
-        if let Some(client) = self.clients.get_mut(slot).filter(|_| crowd) {
+        let closes = |client: &&mut Client| crowd && client.inbox.kept().is_empty();
+        if let Some(client) = self.clients.get_mut(slot).filter(closes) {
             client.ending.get_or_insert(reasons::CROWD);
         }
         self.write_answer(slot, status, fields, body);
@@ -199,8 +211,10 @@
 
     pub fn write_answer(&mut self, slot: ClientSlot, status: u16, fields: Vec<Bytes>, body: Vec<Bytes>) {
         let Some(client) = self.clients.get_mut(slot) else { return };
-        if client.last || self.closing {
-            let reason = if self.closing { reasons::STOPPED } else { reasons::CLIENT_LAST };
+        // What was read ahead is answered before we close.
+        let closes = self.closing && client.inbox.kept().is_empty();
+        if client.last || closes {
+            let reason = if closes { reasons::STOPPED } else { reasons::CLIENT_LAST };
             client.ending.get_or_insert(reason);
         }
         let close = if client.ending.is_some() { "Connection: close\r\n" } else { "" };
@@ -252,6 +266,16 @@
         self.reject(slot, status);
     }
 
+    /// Answers requests of which part never came, as the stop waits for them no longer.
+    pub fn turn_off_unfinished(&mut self) {
+        let unfinished = |client: &Client| !client.is_owed() && !client.lingers && client.partial.is_some();
+        let slots: Vec<_> =
+            self.clients.iter().filter(|(_, client)| unfinished(client)).map(|(slot, _)| slot).collect();
+        for slot in slots {
+            self.turn_off(slot, 503, reasons::STOPPED);
+        }
+    }
+
     /// Closes connections that stand between tickets, once what they sent has been looked at.
     pub fn close_idle_clients(&mut self) {
         let idle = |client: &Client| !client.is_owed() && client.inbox.kept().is_empty();
--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -146,11 +146,11 @@
     let mut stand = Stand::new();
     let (client, slot) = stand.client();
     say(&client, sent);
-    let seen = |client: &Client| client.partial || client.answered > 0 || sent.is_empty();
+    let seen = |client: &Client| client.partial.is_some() || client.answered > 0 || sent.is_empty();
     stand.until(|node| seen(&node.desk.borrow().clients[slot]).then_some(()));
     let desk = stand.node.desk.borrow();
     let (due, opened) = (desk.clients[slot].due.unwrap().0, desk.clients[slot].opened);
-    assert!(due <= opened + FIRST_WITHIN && due + 1_000 * hung as u64 > opened + FIRST_WITHIN, "{due}");
+    assert!(due <= opened + STOPS_FOR && due + 1_000 * hung as u64 > opened + STOPS_FOR, "{due}");
 }
 
 #[rstest]
@@ -158,7 +158,7 @@
 #[case::many_stand(1, 1, IDLE_LEAST, false)]
 #[case::many_but_only_just(1, 1, IDLE_LEAST / 2, true)]
 #[case::for_long(10, 1, IDLE_MOST, false)]
-#[case::never_brought_a_ticket(10, 0, FIRST_WITHIN, false)]
+#[case::never_brought_a_ticket(10, 0, STOPS_FOR, false)]
 fn a_standing_connection_goes_where_many_stand(
     #[case] most: usize, #[case] tickets: u64, #[case] stood: Micros, #[case] stays: bool,
 ) {
@@ -216,7 +216,7 @@
     let mut stand = Stand::new();
     let (client, slot) = stand.client();
     say(&client, "POST /pay");
-    let part = |client: &Client| client.due.filter(|_| client.partial);
+    let part = |client: &Client| client.due.filter(|_| client.partial.is_some());
     let first = stand.until(|node| part(&node.desk.borrow().clients[slot]));
     say(&client, "/1 HTTP/1.1\r\n");
     stand.until(|node| (node.desk.borrow().clients[slot].inbox.kept().len() > 9).then_some(()));
@@ -368,3 +368,28 @@
         stand.ends(&client);
     }
 }
+
+/// Who stops in the middle of a request and stays is owed its error or close within 3 s, also on a connection that has
+/// brought requests before (10 s until 2026-12-02); who goes on has so much for each step, and no more than 10 s in all.
+#[test]
+fn a_client_that_stops_in_the_middle_of_a_further_request_has_its_error_within_three_seconds() {
+    let mut stand = Stand::new();
+    let (client, slot) = stand.client();
+    stand.node.desk.borrow_mut().clients[slot].tickets = 1;
+    let text = message("t1", "body");
+    let mut due = 0;
+    for length in [10, 20] {
+        say(&client, &text[length - 10..length]);
+        let seen = |client: &Client| client.partial.is_some_and(|partial| partial.length == length);
+        stand.until(|node| seen(&node.desk.borrow().clients[slot]).then_some(()));
+        let desk = stand.node.desk.borrow();
+        let at = desk.clients[slot].due.unwrap().0;
+        assert!(at > due && at <= desk.now() + STOPS_FOR, "{at} after {due}, at {}", desk.now());
+        due = at;
+    }
+    if let Some(partial) = &mut stand.node.desk.borrow_mut().clients[slot].partial {
+        partial.began -= SLOW_AFTER;
+    }
+    say(&client, &text[20..30]);
+    assert!(stand.heard(&client, "\r\n\r\n").starts_with("HTTP/1.1 408 "));
+}
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -55,7 +55,7 @@
             }
         };
         let message = client.inbox.take(end);
-        (client.continued, client.partial) = (false, false);
+        (client.continued, client.partial) = (false, None);
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
         let mut asked = Request::new(&mut fields);
         let (Ok(_), Some(method), Some(target)) = (asked.parse(&message[..head]), asked.method, asked.path)
