Three more tests that fail: a former address kept, a window not looked at, a key blocked for ever

Cause, by reading: (1) `Desk::shelve` keeps a connection whose upstream has moved meanwhile, and the next request goes to the former address. (2) The end of the window for repeats is looked at where a send is decided, not where its bytes go: a connection may come up later. (3) `Desk::over` tells the module of an attempt's end only while a client waits; in `turns.rs` the key of a request whose client left stays blocked until the process ends (`line.out` never falls).

--- a/node/src/wire/clients/tests.rs
+++ b/node/src/wire/clients/tests.rs
@@ -393,3 +393,28 @@
     say(&client, &text[20..30]);
     assert!(stand.heard(&client, "\r\n\r\n").starts_with("HTTP/1.1 408 "));
 }
+
+/// The end of an attempt frees its key, also where its client has left and nobody waits for the answer.
+#[test]
+fn a_client_that_leaves_does_not_block_its_key_for_ever() {
+    let mut stand = Stand::with(|told| {
+        told["settings"]["useCases"][0]["inOrder"] = true.into();
+        told["settings"]["rules"]["turnGapUs"] = 1_000.into();
+    });
+    let upstream = stand.upstreams();
+    let keyed = |id| message(id, "body").replace("X-Lane", "X-Entity: k\r\nX-Lane");
+    let (first, _) = stand.client();
+    say(&first, &keyed("t1"));
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    drop(first);
+    stand.ends(&link);
+    let (second, _) = stand.client();
+    say(&second, &keyed("t2"));
+    let counters = |node: &Node| {
+        let desk = node.desk.borrow();
+        (desk.counters.dispatches, desk.counters.tickets_dismissed)
+    };
+    let came = stand.until(|node| Some(counters(node)).filter(|came| *came != (1, 0)));
+    assert_eq!(came, (2, 0));
+}
--- a/node/src/wire/upstreams/tests.rs
+++ b/node/src/wire/upstreams/tests.rs
@@ -441,3 +441,43 @@
     assert_eq!(ended(&mut stand), "succeeded 1");
     assert!(stand.heard(&client, "served").starts_with("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n"));
 }
+
+/// A connection to where an upstream was before carries nothing more once the list names another address.
+#[test]
+fn a_connection_to_an_address_that_an_upstream_has_left_is_not_kept() {
+    let mut stand = Stand::new();
+    let before = stand.upstream("s1");
+    let (_client, _) = stand.dispatched("t1", "s1", LONG);
+    let link = stand.accepted(&before);
+    stand.heard(&link, "body");
+    let after = stand.upstream("s1");
+    say(&link, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(ended(&mut stand), "failed 1");
+    stand.node.desk.borrow_mut().links.values_mut().for_each(|link| link.answered = 0);
+    let _second = stand.dispatched("t2", "s1", LONG);
+    assert_eq!(stand.node.desk.borrow().counters.links_reused, 0);
+    let link = stand.accepted(&after);
+    stand.heard(&link, "body");
+}
+
+/// The window of repeats may end between the decision and the bytes, as a connection comes up late.
+#[test]
+fn a_keyed_request_that_may_have_run_is_not_written_behind_its_window() {
+    let mut stand = Stand::with(|told| told["settings"]["useCases"][0]["dedupWindowUs"] = 200_000.into());
+    let upstream = stand.upstream("s1");
+    let (_client, _) = stand.dispatched("t1", "s1", LONG);
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+    drop(link);
+    assert_eq!(ended(&mut stand), "broken 1");
+    let other = stand.upstream("s2");
+    std::thread::sleep(std::time::Duration::from_millis(250));
+    stand.again("t1", "s2", LONG);
+    stand.until(|node| {
+        let counters = &node.desk.borrow().counters;
+        (counters.dispatches_never_sent > 0 || counters.links_opened > 2).then_some(())
+    });
+    let link = stand.accepted(&other);
+    stand.until(|node| (node.desk.borrow().counters.dispatches_never_sent == 1).then_some(()));
+    stand.ends(&link);
+}
