One guard for every send, with a margin for held-up processes; keys and addresses of what has left

`Desk::over` told the module of an end only while a client waited, so a key in order stayed blocked for ever when its client left. A connection to a former address was kept.

Change: `node/src/wire/sending.rs` asks of every attempt, when its bytes go: client, time, drain, address, window, effect, no second one out. What is refused is proven never sent, has its reason in the log and is counted (`attempts_refused`; `violations` where time alone can't bring it about). Each attempt's end is told. The log tells why an attempt ended, a request was given up, a client left, by id.

--- a/node/src/memory/counters.rs
+++ b/node/src/memory/counters.rs
@@ -40,6 +40,8 @@
     dispatches_turned_away,
     dispatches_unreachable,
     dispatches_never_sent,
+    attempts_refused,
+    violations,
     loads_told,
     probes,
     probes_answered,
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use pinefront::Micros;
+use pinefront::{Effect, Ending, Micros};
 use slog::Logger;
 use slotmap::{Key, SlotMap};
 
@@ -108,6 +108,8 @@
 pub struct Link {
     pub wired: Wired,
     pub upstream: UpstreamSlot,
+    /// Where it leads: its upstream may have moved since.
+    pub address: SocketAddr,
     pub connected: bool,
     pub inbox: Inbox,
     pub outbox: Outbox,
@@ -143,6 +145,10 @@
     /// Bytes of the message.
     pub length: usize,
     pub dispatches: Vec<Option<LinkSlot>>,
+    /// What a second run would do, by the settings that it was taken under.
+    pub effect: Effect,
+    /// When the first attempt was sent that may have run.
+    pub may_have_run_since: Option<Micros>,
 }
 
 pub struct Desk {
@@ -197,15 +203,20 @@
         Some(released)
     }
 
-    /// Marks a dispatch as over, and tells its ticket's id if somebody still waits for the answer.
-    pub fn over(&mut self, slot: TicketSlot, number: usize) -> Option<Rc<str>> {
+    /// Takes down that an attempt is over. Its request's id, and whether somebody still waits for the answer.
+    pub fn over(
+        &mut self, slot: TicketSlot, number: usize, ending: Ending, sent: Micros,
+    ) -> Option<(Rc<str>, bool)> {
         let ticket = self.tickets.get_mut(slot)?;
         if let Some(link) = ticket.dispatches.get_mut(number) {
             *link = None;
         }
-        let waits = ticket.client.is_some().then(|| Rc::clone(&ticket.id));
+        if !ending.proves_not_run() {
+            ticket.may_have_run_since.get_or_insert(sent);
+        }
+        let told = (Rc::clone(&ticket.id), ticket.client.is_some());
         self.tidy(slot);
-        waits
+        Some(told)
     }
 
     /// Forgets a ticket that nobody waits for and that has nothing out.
--- a/node/src/wire/answers.rs
+++ b/node/src/wire/answers.rs
@@ -54,12 +54,12 @@
             true => desk.shelve(slot),
             false => desk.end_link(slot, reasons::LINK_LAST),
         }
-        let told = desk.over(errand.ticket, errand.number);
+        let told = desk.over(errand.ticket, errand.number, ending, errand.sent);
         if !probed {
             desk.count_ending(ending);
         }
         let last = ending == Ending::Succeeded;
-        if told.is_some() && last {
+        if last && told.as_ref().is_some_and(|(_, waits)| *waits) {
             let own = |name: &str| heads::goes_on(name) && !name.eq_ignore_ascii_case("x-pressure");
             let lines = heads::lines(&message, response.headers, own);
             let body = body.iter().map(|range| message.slice(range.clone())).collect();
@@ -73,7 +73,8 @@
         if probed {
             return self.probe_over(place, last);
         }
-        if let Some(id) = told {
+        if let Some((id, _)) = told {
+            self.desk.borrow().tell_attempt(&id, errand.number, ending);
             let took = now.saturating_sub(errand.sent);
             self.balancer.dispatch_ended(now, &id, errand.number, last, ending, took);
         }
--- a/node/src/wire/clients.rs
+++ b/node/src/wire/clients.rs
@@ -59,6 +59,7 @@
         desk.end_client(slot, if left.is_some() { reasons::CLIENT_LEFT } else { reason });
         if let Some((id, _)) = left {
             desk.counters.tickets_left += 1;
+            info!(desk.log, "client left its request"; "request" => &*id);
             let now = desk.now();
             drop(desk);
             self.balancer.client_left(now, &id);
@@ -317,7 +318,7 @@
 }
 
 /// Whether the other side's sending is over, also where that lies behind bytes that are not read.
-fn hung_up(stream: &TcpStream) -> bool {
+pub fn hung_up(stream: &TcpStream) -> bool {
     ready(stream, PollFlags::RDHUP).intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR)
 }
 
--- a/node/src/wire/hands.rs
+++ b/node/src/wire/hands.rs
@@ -4,11 +4,13 @@
 use bytes::Bytes;
 use pinefront::{Ending, Host, Micros};
 
+use slog::info;
+
 use crate::life::reasons;
 use crate::life::serve::Hands;
 use crate::memory::deadlines::Due;
 use crate::memory::desk::{Desk, Errand};
-use crate::memory::slots::{LinkSlot, TicketSlot};
+use crate::memory::slots::TicketSlot;
 
 impl Host for Hands {
     fn dispatch(&mut self, ticket: &str, upstream: &str, expire_at: Micros) {
@@ -20,17 +22,11 @@
         let mut desk = self.0.borrow_mut();
         let Some(slot) = desk.by_id.get(ticket).copied() else { return };
         let Some(ticket) = desk.tickets.get(slot) else { return };
-        let waits = ticket.client.is_some();
         if let Some(link) = ticket.dispatches.get(dispatch).copied().flatten() {
             desk.end_link(link, reasons::CALLED_OFF);
-            match waits {
-                // The module has yet to hear of it, or the ticket would never be answered.
-                true => {
-                    let now = desk.now();
-                    _ = desk.deadlines.hang(now, Due::Unsent(slot, dispatch, Ending::CalledOff));
-                }
-                false => desk.count_ending(Ending::CalledOff),
-            }
+            // The module has yet to hear of it: the request would never be answered, or its key never be free.
+            let now = desk.now();
+            desk.deadlines.hang(now, Due::Unsent(slot, dispatch, Ending::CalledOff));
         }
     }
 
@@ -42,6 +38,7 @@
             fields.push(Bytes::from(format!("Retry-After: {:.3}\r\n", come_back_after as f64 / 1e6)));
         }
         desk.counters.tickets_dismissed += 1;
+        desk.tell_given_up(slot, 503);
         desk.answer(slot, 503, fields, Vec::new());
     }
 
@@ -49,6 +46,7 @@
         let mut desk = self.0.borrow_mut();
         let Some(slot) = desk.by_id.get(ticket).copied() else { return };
         desk.counters.tickets_abandoned += 1;
+        desk.tell_given_up(slot, 502);
         desk.answer(slot, 502, Vec::new(), Vec::new());
     }
 
@@ -79,6 +77,13 @@
 }
 
 impl Desk {
+    fn tell_given_up(&self, slot: TicketSlot, status: u16) {
+        if let Some(request) = self.tickets.get(slot) {
+            info!(self.log, "request given up"; "request" => &*request.id, "status" => status,
+                "attempts" => request.dispatches.len());
+        }
+    }
+
     /// Asks an upstream for its load at the path in the configuration. A probe waits as long as a connection may
     /// take to come about: what tells its load later than that tells of another load.
     fn probe(&mut self, id: &str) {
@@ -133,7 +138,11 @@
             return;
         }
         self.counters.links_reused += 1;
-        self.word_attempt(slot, now);
+        if let Err(refusal) = self.word_attempt(slot, now) {
+            self.end_link(slot, refusal.code());
+            self.deadlines.hang(now, Due::Unsent(ticket, number, Ending::NeverSent));
+            return;
+        }
         let Some(link) = self.links.get_mut(slot) else { return };
         // What fails here is looked at on a later turn: we are inside a call of the module.
         if link.outbox.drain(&link.wired.stream).is_err() {
@@ -141,26 +150,4 @@
         }
         self.link_waits(slot, expire_at);
     }
-
-    /// The bytes of the attempt that a connection carries. Worded when they can go, not when it was decided: a connection
-    /// may come up late, and what its upstream is told is what is left then. None are where nobody waits any more.
-    pub fn word_attempt(&mut self, slot: LinkSlot, now: Micros) -> bool {
-        let Some(link) = self.links.get_mut(slot) else { return false };
-        let Some(errand) = link.errand.as_ref().filter(|errand| now < errand.expire_at) else { return false };
-        let waited_for = self.tickets.get(errand.ticket).filter(|ticket| ticket.client.is_some());
-        let Some(open) = waited_for else { return false };
-        let address = self.upstreams.get(link.upstream).and_then(|upstream| upstream.address);
-        open.head.iter().for_each(|slice| link.outbox.push(slice.clone()));
-        let length: usize = open.body.iter().map(Bytes::len).sum();
-        let mut added = format!("X-Remaining-Ms: {}\r\n", (errand.expire_at - now).div_ceil(1000));
-        if let Some(address) = address.filter(|_| !open.has_host) {
-            added += &format!("Host: {address}\r\n");
-        }
-        if length > 0 || open.has_body {
-            added += &format!("Content-Length: {length}\r\n");
-        }
-        link.outbox.push(Bytes::from(added + "\r\n"));
-        open.body.iter().for_each(|slice| link.outbox.push(slice.clone()));
-        true
-    }
 }
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -8,5 +8,6 @@
 pub mod hands;
 pub mod heads;
 pub mod peers;
+pub mod sending;
 pub mod tickets;
 pub mod upstreams;
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -97,7 +97,8 @@
             heads::field(fields, "x-org").map_or(desk.place.accounts.len(), |name| desk.place.account(name));
         let hint = heads::field(fields, "x-estimate").and_then(|hint| hint.parse().ok());
         let key = heads::field(fields, "x-entity").map(key_number);
-        let ticket = desk.open(slot, id, &message, &asked, &body);
+        let effect = desk.place.effects[use_case];
+        let ticket = desk.open(slot, id, effect, &message, &asked, &body);
         drop(borrowed);
         self.balancer.ticket_arrived(now, &ticket, use_case, account, hard_stop, hint, key);
     }
@@ -105,7 +106,8 @@
 
 impl Desk {
     pub fn open(
-        &mut self, slot: ClientSlot, id: &str, message: &Bytes, asked: &Request, body: &[Range<usize>],
+        &mut self, slot: ClientSlot, id: &str, effect: Effect, message: &Bytes, asked: &Request,
+        body: &[Range<usize>],
     ) -> Rc<str> {
         let part = |text: Option<&str>| message.slice(heads::place(message, text.unwrap_or("").as_bytes()));
         let (space, version) = (Bytes::from_static(b" "), Bytes::from_static(b" HTTP/1.1\r\n"));
@@ -124,6 +126,8 @@
             has_body: asked.method != Some("GET"),
             length: message.len(),
             dispatches: Vec::new(),
+            effect,
+            may_have_run_since: None,
         };
         let ticket = self.tickets.insert(ticket);
         self.by_id.insert(Rc::clone(&id), ticket);
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -17,6 +17,7 @@
 use crate::memory::slots::{LinkSlot, TicketSlot, UpstreamSlot};
 use crate::wire::answers::whole_answer;
 use crate::wire::heads::MESSAGE_MOST;
+use crate::wire::sending::Refusal;
 
 #[cfg(test)]
 mod tests;
@@ -108,9 +109,11 @@
         let mut desk = self.desk.borrow_mut();
         let now = desk.now();
         desk.count_ending(ending);
-        let waits = desk.over(ticket, number);
+        let told = desk.over(ticket, number, ending, sent);
         drop(desk);
-        if let Some(id) = waits {
+        // Also where nobody waits: the key of a request in order is free only when its attempt has ended.
+        if let Some((id, _)) = told {
+            self.desk.borrow().tell_attempt(&id, number, ending);
             self.balancer.dispatch_ended(now, &id, number, false, ending, now.saturating_sub(sent));
         }
     }
@@ -140,6 +143,7 @@
                 Ok(Link {
                     wired,
                     upstream,
+                    address,
                     connected: false,
                     inbox,
                     outbox,
@@ -179,16 +183,15 @@
             if link.wired.stream.peer_addr().is_err() {
                 return Look::Nothing;
             }
-            // Told of its drain while the connection came about: nothing new after the grace.
-            let told = self.upstreams.get(link.upstream).and_then(|upstream| upstream.drains);
-            if told.is_some_and(|told| told + self.place.drain_grace <= now) {
-                return Look::Over(Ending::Unreachable, reasons::DRAINED);
-            }
             link.connected = true;
             if let Some(errand) = &link.errand {
                 self.deadlines.move_to(&mut link.due, errand.expire_at, Due::Link(slot));
-                if !errand.is_probe() && !self.word_attempt(slot, now) {
-                    return Look::Over(Ending::NeverSent, reasons::CLIENT_LEFT);
+                if !errand.is_probe()
+                    && let Err(refusal) = self.word_attempt(slot, now)
+                {
+                    let ending =
+                        if refusal == Refusal::Drained { Ending::Unreachable } else { Ending::NeverSent };
+                    return Look::Over(ending, refusal.code());
                 }
             }
         }
@@ -229,10 +232,11 @@
         let Some(link) = self.links.get_mut(slot) else { return };
         link.answered = now;
         match self.upstreams.get_mut(link.upstream) {
-            Some(upstream) if upstream.drains.is_none() => {
+            Some(upstream) if upstream.drains.is_none() && upstream.address == Some(link.address) => {
                 upstream.idle.push(slot);
                 self.link_waits(slot, until);
             }
+            Some(upstream) if upstream.drains.is_none() => self.end_link(slot, reasons::MOVED),
             _ => self.end_link(slot, reasons::DRAINED),
         }
     }
@@ -272,9 +276,6 @@
         self.handle.remove(link.wired.token);
         let doubtful =
             TELLS_OF_OTHERS.contains(&reason) || (reason == reasons::CALLED_OFF && self.long_silent(&link));
-        if let Some(errand) = link.errand {
-            self.over(errand.ticket, errand.number);
-        }
         self.counters.links_ended += 1;
         if let Some(upstream) = self.upstreams.get_mut(link.upstream) {
             upstream.idle.retain(|idle| *idle != slot);
@@ -286,6 +287,13 @@
         }
     }
 
+    /// Why a request goes on to another attempt, or gets no answer of an upstream's.
+    pub fn tell_attempt(&self, request: &str, number: usize, ending: Ending) {
+        if ending != Ending::Succeeded {
+            info!(self.log, "attempt ended"; "request" => request, "attempt" => number, "ending" => ?ending);
+        }
+    }
+
     pub fn count_ending(&mut self, ending: Ending) {
         let counters = &mut self.counters;
         *match ending {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,6 +8,7 @@
 
 use crate::arithmetic::{clipped_step, dot, mixed, project, relative, scattered, softplus};
 use crate::known::{Alarm, Balancer, Dispatch, FEATURES, Scene, Ticket, Upstream};
+use crate::margin::begin_before;
 use crate::measures::{LASTING, RECENT, SECOND};
 use crate::words::{Fate, Word};
 use crate::{Effect, Ending, Group, Host, Micros, Terms};
@@ -385,7 +386,7 @@
                     Group::Zone => first.zone == upstream.zone,
                     Group::Cell => first.cell == upstream.cell,
                 };
-                same && now < d.sent + window
+                same && now < begin_before(d.sent, window)
             }),
         };
         open && again
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,11 +8,13 @@
 mod groups;
 mod known;
 mod list;
+mod margin;
 mod measures;
 mod turns;
 mod words;
 
 pub use known::Balancer;
+pub use margin::begin_before;
 
 /// A moment or a span in whole microseconds.
 pub type Micros = u64;
