Start times that a wrong wall clock can't spoil; what fails for a moment is tried again

A start gave up at the first ENFILE of the loop, the signals, a file or the socket, and a SIGHUP in such a moment was lost, with the discovery that it moves. A watch told by a discovery that counts anew from a lower version was followed from that, and what changed before it never asked for. A second answer may come some milliseconds late, and a connection rested 1 ms only.

`patiently` and `reread_later` try again what passes. A version that goes back asks for the whole list. Connections rest 10 ms.

--- a/node/src/life/place.rs
+++ b/node/src/life/place.rs
@@ -8,6 +8,8 @@
 use pinefront_terms::terms;
 use serde_json::Value;
 
+use crate::life::start::passes;
+
 #[cfg(test)]
 mod tests;
 
@@ -277,11 +279,40 @@
     texts.filter_map(ours).collect()
 }
 
+/// A file that was not read or not taken.
+#[derive(Debug)]
+pub struct Unread {
+    /// The system failed for the moment: another try may do.
+    pub passes: bool,
+    pub problem: String,
+}
+
+impl From<String> for Unread {
+    fn from(problem: String) -> Self {
+        Self { passes: false, problem }
+    }
+}
+
+impl From<&str> for Unread {
+    fn from(problem: &str) -> Self {
+        problem.to_owned().into()
+    }
+}
+
+impl From<Unread> for String {
+    fn from(unread: Unread) -> Self {
+        unread.problem
+    }
+}
+
 /// Reads the file that tells a balancer where it stands.
-pub fn read(path: Option<&str>, variables: &Variables) -> Decoded<(Value, Place, Terms)> {
+pub fn read(path: Option<&str>, variables: &Variables) -> Result<(Value, Place, Terms), Unread> {
     let path = path.or(variables.get("CONFIG").map(String::as_str));
     let path = path.ok_or("no file named: give --config or set BALANCER_CONFIG")?;
-    let bytes = std::fs::read(path).map_err(|problem| format!("cannot read {path}: {problem}"))?;
+    let bytes = std::fs::read(path).map_err(|problem| Unread {
+        passes: passes(&problem),
+        problem: format!("cannot read {path}: {problem}"),
+    })?;
     let told: Value =
         serde_json::from_slice(&bytes).map_err(|problem| format!("{path} is not JSON: {problem}"))?;
     let most_open = rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX);
--- a/node/src/life/reread.rs
+++ b/node/src/life/reread.rs
@@ -2,16 +2,31 @@
 //! name, the address that clients connect to and the seed. Tickets that are open go on under the use case that they
 //! came with; nothing is sent because of it.
 
+use pinefront::Micros;
 use slog::{info, warn};
 
-use crate::life::place::{Variables, read};
+use crate::life::place::{Variables, read, variables};
 use crate::life::serve::Node;
 use crate::life::start::fleet_terms;
+use crate::memory::deadlines::Due;
+use crate::memory::desk::Desk;
 use crate::wire::peers::Ear;
 
 #[cfg(test)]
 mod tests;
 
+/// Further tries to read a file where the system failed for the moment, and the time between them. What a new
+/// configuration moves counts four seconds after the signal.
+const TRIES: u32 = 40;
+const TRIES_APART: Micros = 50_000;
+
+/// A file to be read again.
+#[derive(Clone)]
+pub struct Again {
+    path: Option<String>,
+    tries: u32,
+}
+
 impl Node {
     /// Reads the operator file anew, where there is one. What can't be read changes nothing.
     pub fn reread_operator(&mut self, path: Option<&str>) {
@@ -29,6 +44,14 @@
         }
     }
 
+    /// The file could not be read a moment ago.
+    pub fn reread_due(&mut self) {
+        let again = self.desk.borrow().reread_again.clone();
+        if let Some(again) = again {
+            self.reread(again.path.as_deref(), &variables());
+        }
+    }
+
     /// Reads the file anew. What can't be read changes nothing.
     pub fn reread(&mut self, path: Option<&str>, variables: &Variables) {
         let mut variables = variables.clone();
@@ -52,10 +75,11 @@
                 }
                 Err(_) => ear.into_iter().for_each(|ear| ear.close(&desk.handle)),
             }
-            renewed
+            Ok(renewed?)
         });
         match taken {
             Ok(terms) => {
+                desk.reread_again = None;
                 let place = &desk.place;
                 let changed = terms != *self.balancer.terms();
                 info!(desk.log, "configuration read anew"; "discovery" => %place.discovery,
@@ -68,10 +92,22 @@
                     self.balancer.terms_changed(terms);
                 }
             }
-            Err(problem) => {
+            Err(unread) => {
                 desk.counters.rereads_failed += 1;
-                warn!(desk.log, "new configuration not taken"; "problem" => problem);
+                warn!(desk.log, "new configuration not taken"; "problem" => &unread.problem);
+                desk.reread_later(path, unread.passes);
             }
         }
     }
 }
+
+impl Desk {
+    fn reread_later(&mut self, path: Option<&str>, passes: bool) {
+        let tries = self.reread_again.as_ref().map_or(0, |again| again.tries + 1);
+        let again = Again { path: path.map(str::to_owned), tries };
+        self.reread_again = Some(again).filter(|_| passes && tries < TRIES);
+        if self.reread_again.is_some() {
+            self.deadlines.hang(self.clock.now() + TRIES_APART, Due::Reread);
+        }
+    }
+}
--- a/node/src/life/reread/tests.rs
+++ b/node/src/life/reread/tests.rs
@@ -338,3 +338,25 @@
     }
     [key, path].into_iter().for_each(|path| std::fs::remove_file(path).unwrap());
 }
+
+/// The system may be out of files for the moment in which the signal comes (ENFILE): what the file moves counts all the
+/// same.
+#[test]
+fn a_file_that_could_not_be_read_for_a_moment_is_read_again() {
+    let mut stand = Stand::new();
+    let elsewhere = listener();
+    let new = told("127.0.0.1:0", &elsewhere.local_addr().unwrap().to_string());
+    let path = file("again", &new.to_string());
+    stand.node.desk.borrow_mut().reread_later(Some(&path), true);
+    let call = stand.accepted(&elsewhere);
+    stand.heard(&call, "\r\n\r\n");
+    std::fs::remove_file(&path).unwrap();
+    assert!(stand.node.desk.borrow().reread_again.is_none());
+    // What is wrong with the file itself is not tried again, and nothing is for ever.
+    stand.node.desk.borrow_mut().reread_later(Some(&path), false);
+    assert!(stand.node.desk.borrow().reread_again.is_none());
+    for _ in 0..=TRIES {
+        stand.node.desk.borrow_mut().reread_later(Some(&path), true);
+    }
+    assert!(stand.node.desk.borrow().reread_again.is_none());
+}
--- a/node/src/life/serve.rs
+++ b/node/src/life/serve.rs
@@ -55,6 +55,7 @@
                 Due::Discovery => self.discovery_due(),
                 Due::Accept => self.desk.borrow_mut().accept_again(),
                 Due::Stop => self.stop_on(),
+                Due::Reread => self.reread_due(),
             }
         }
     }
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +11,7 @@
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
 use pinefront::{Balancer, Terms};
 use pinefront_terms::fields::{Decoded, optional};
+use rustix::io::Errno;
 use serde_json::Value;
 use slog::{info, warn};
 use slotmap::SlotMap;
@@ -29,27 +29,50 @@
 use crate::wire::discovery::Roster;
 use crate::wire::peers::Ear;
 
+#[cfg(test)]
+mod tests;
+
 /// Connections that may wait for us while a turn lasts.
 const BACKLOG: i32 = 1024;
-/// Tries to listen, and the time between them: together longer than an orderly stop takes.
-const LISTEN_TRIES: u32 = 100;
-const LISTEN_APART: Duration = Duration::from_millis(50);
+/// Tries of what the start needs of the system, and the time between them: together longer than an orderly stop takes.
+const TRIES: u32 = 100;
+const TRIES_APART: Duration = Duration::from_millis(50);
 
-/// Listens, after a short wait where the process before us has not let go of the address yet.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let mut tries = LISTEN_TRIES;
+/// Whether another try may do: the process before us has not let go of the address yet, or the system is short of
+/// something for the moment.
+pub fn passes(problem: &std::io::Error) -> bool {
+    let Some(code) = Errno::from_io_error(problem) else { return false };
+    matches!(
+        code,
+        Errno::ADDRINUSE
+            | Errno::ADDRNOTAVAIL
+            | Errno::AGAIN
+            | Errno::INTR
+            | Errno::IO
+            | Errno::MFILE
+            | Errno::NFILE
+            | Errno::NETDOWN
+            | Errno::NETUNREACH
+            | Errno::NOBUFS
+            | Errno::NOMEM
+    )
+}
+
+/// Tries again what fails for a moment only: a start that gives up at once is a crash to whoever started it.
+fn patiently<T, E: Into<std::io::Error>>(mut attempt: impl FnMut() -> Result<T, E>) -> std::io::Result<T> {
+    let mut tries = TRIES;
     loop {
-        match listen_now(address) {
-            Err(problem) if problem.kind() == ErrorKind::AddrInUse && tries > 0 => {
+        match attempt().map_err(Into::into) {
+            Err(problem) if passes(&problem) && tries > 0 => {
                 tries -= 1;
-                std::thread::sleep(LISTEN_APART);
+                std::thread::sleep(TRIES_APART);
             }
             done => return done,
         }
     }
 }
 
-fn listen_now(address: SocketAddr) -> std::io::Result<TcpListener> {
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
     // A restarted balancer takes its address back while old connections fade.
     socket.set_reuse_address(true)?;
@@ -63,8 +86,8 @@
     handle: LoopHandle<'static, Node>, pipe: &Pipe, told: &Value, place: Place, terms: Terms,
 ) -> Decoded<Node> {
     let log = pipe.logger(slog::Level::Info);
-    let listener =
-        listen(place.listen).map_err(|problem| format!("cannot listen on {}: {problem}", place.listen))?;
+    let listener = patiently(|| listen(place.listen))
+        .map_err(|problem| format!("cannot listen on {}: {problem}", place.listen))?;
     let listener = Rc::new(listener);
     let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
     let accepting = handle.insert_source(source, |_, _, node: &mut Node| {
@@ -100,6 +123,7 @@
         stopping: None,
         closing: false,
         accept_rests: false,
+        reread_again: None,
         shortage_told: 0,
         turn: Turn::default(),
     }));
@@ -126,12 +150,22 @@
 
 /// Runs the balancer until it is told to stop.
 pub fn run(path: Option<&str>, operator: Option<&str>) -> Decoded<()> {
-    let (told, place, terms) = read(path, &variables())?;
+    let mut tries = TRIES;
+    let (told, place, terms) = loop {
+        match read(path, &variables()) {
+            Err(unread) if unread.passes && tries > 0 => {
+                tries -= 1;
+                std::thread::sleep(TRIES_APART);
+            }
+            done => break done?,
+        }
+    };
     let fleet_terms = operator.map(|file| fleet_terms(file, &place, &terms)).transpose()?;
     let mut event_loop: EventLoop<Node> =
-        EventLoop::try_new().map_err(|problem| format!("cannot make the event loop: {problem}"))?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])
-        .map_err(|problem| format!("cannot watch signals: {problem}"))?;
+        patiently(EventLoop::try_new).map_err(|problem| format!("cannot make the event loop: {problem}"))?;
+    let watched = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
+    let signals =
+        patiently(|| Signals::new(&watched)).map_err(|problem| format!("cannot watch signals: {problem}"))?;
     let handle = event_loop.handle();
     let (file, operator) = (path.map(str::to_owned), operator.map(str::to_owned));
     handle
--- /dev/null
+++ b/node/src/life/start/tests.rs
@@ -0,0 +1,22 @@
+use std::io;
+
+use rstest::rstest;
+
+use super::*;
+
+/// As socket(2), bind(2) and open(2) may fail for a moment.
+#[rstest]
+#[case::files_of_all(Errno::NFILE, true)]
+#[case::buffers(Errno::NOBUFS, true)]
+#[case::address_not_here_yet(Errno::ADDRNOTAVAIL, true)]
+#[case::address_still_taken(Errno::ADDRINUSE, true)]
+#[case::no_such_file(Errno::NOENT, false)]
+#[case::not_allowed(Errno::ACCESS, false)]
+fn only_what_passes_is_tried_again(#[case] code: Errno, #[case] again: bool) {
+    let mut tries = 0;
+    let done = patiently(|| -> io::Result<u32> {
+        tries += 1;
+        if tries < 3 { Err(code.into()) } else { Ok(tries) }
+    });
+    assert_eq!(done.ok(), again.then_some(3));
+}
--- a/node/src/memory/deadlines.rs
+++ b/node/src/memory/deadlines.rs
@@ -32,6 +32,8 @@
     Accept,
     /// The next step of an orderly stop.
     Stop,
+    /// A configuration that could not be read is tried again.
+    Reread,
 }
 
 /// A deadline's place: its time, and a number that keeps those of one moment in their order.
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -15,6 +15,7 @@
 
 use crate::fleet::carrier::Fleet;
 use crate::life::place::Place;
+use crate::life::reread::Again;
 use crate::life::serve::Node;
 use crate::memory::buffers::{Inbox, Outbox};
 use crate::memory::clock::{Clock, Turn};
@@ -125,6 +126,8 @@
     pub address: Option<SocketAddr>,
     /// Idle connections, the one used last at the end.
     pub idle: Vec<LinkSlot>,
+    /// When its process started, as stated and as we take it.
+    pub started: Option<(Micros, Micros)>,
     /// When we were told that it drains or is gone.
     pub drains: Option<Micros>,
     /// When it was left out of the list without draining, where only draining binds.
@@ -174,6 +177,8 @@
     pub stopping: Option<Micros>,
     /// Connections close between tickets, as the stop has gone so far.
     pub closing: bool,
+    /// A new configuration that could not be read a moment ago.
+    pub reread_again: Option<Again>,
     /// Accepting is paused for want of descriptors.
     pub accept_rests: bool,
     /// When the log was last told that no descriptor is left for an upstream.
@@ -235,8 +240,14 @@
             return slot;
         }
         let id: Rc<str> = Rc::from(id);
-        let blank =
-            Upstream { id: Rc::clone(&id), address: None, idle: Vec::new(), drains: None, left: None };
+        let blank = Upstream {
+            id: Rc::clone(&id),
+            address: None,
+            idle: Vec::new(),
+            started: None,
+            drains: None,
+            left: None,
+        };
         let slot = self.upstreams.insert(blank);
         self.by_name.insert(id, slot);
         slot
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -16,6 +16,7 @@
 use crate::memory::desk::{Desk, Upstream, Wired};
 use crate::wire::following::{Following, Step};
 use crate::wire::heads::{self, FIELDS_MOST, HEAD_MOST};
+use crate::wire::starts::{Source, StartTimes};
 use crate::wire::upstreams::connect;
 
 #[cfg(test)]
@@ -38,6 +39,10 @@
     /// Whether there is the list that we were started with, and one of discovery's own.
     known: bool,
     taken: bool,
+    /// When discovery last told a list, or that there is nothing new.
+    listed_at: Micros,
+    /// How far our wall clock is known to have been behind when the process began.
+    clock_behind: Micros,
 }
 
 impl Roster {
@@ -50,6 +55,8 @@
             due: None,
             known: false,
             taken: false,
+            listed_at: 0,
+            clock_behind: 0,
         }
     }
 
@@ -175,8 +182,9 @@
             self.desk.borrow_mut().all_gone(now, self.balancer.terms().dropped_stay_open);
         }
         self.balancer.list_begins(now, complete);
+        let starts = self.desk.borrow_mut().start_times(now, entries);
         for entry in entries {
-            if let Err(problem) = self.take_entry(now, entry) {
+            if let Err(problem) = self.take_entry(now, entry, starts) {
                 // One bad entry must not hide the others; what it names gets nothing new.
                 warn!(log, "entry not understood"; "problem" => problem);
                 if let Ok(id) = text(entry, "uid") {
@@ -188,13 +196,14 @@
         self.balancer.list_ends(now);
         let mut desk = self.desk.borrow_mut();
         desk.drop_left();
+        desk.roster.listed_at = now;
         desk.roster.following.listed(version, complete, !entries.is_empty());
         desk.counters.lists_taken += 1;
         info!(log, "list taken"; "version" => version, "whole" => complete, "entries" => entries.len());
         Ok(())
     }
 
-    fn take_entry(&mut self, now: Micros, entry: &Value) -> Decoded<()> {
+    fn take_entry(&mut self, now: Micros, entry: &Value, starts: StartTimes) -> Decoded<()> {
         let stays = self.balancer.terms().dropped_stay_open;
         let id = text(entry, "uid")?;
         match text(entry, "state")? {
@@ -202,12 +211,13 @@
                 let address: SocketAddr = text(entry, "endpoint")?
                     .parse()
                     .map_err(|_| "field 'endpoint' is no address and port".to_owned())?;
-                let launched = optional(entry, "boot_ms", Value::as_u64)?.unwrap_or(0).saturating_mul(1000);
+                let stated = stated_start(entry)?;
                 let (group, weight) = (whole(entry, "pod_group")?, number(entry, "capacity_hint")?);
                 let (zone, kind) = (text(entry, "az")?, text(entry, "model")?);
                 let mut desk = self.desk.borrow_mut();
                 let (zone, kind) = (desk.place.zone(zone), desk.place.kind(kind));
                 desk.serves(id, address);
+                let launched = desk.started(id, stated, starts);
                 drop(desk);
                 self.balancer.list_entry(id, zone, kind, group, weight, launched);
             }
@@ -343,6 +353,44 @@
         }
     }
 
+    /// What bounds the ages of what a list names for the first time.
+    fn start_times(&mut self, now: Micros, entries: &[Value]) -> StartTimes {
+        let roster = &self.roster;
+        let source = match (roster.taken, roster.known) {
+            // A watch is answered as soon as there is news.
+            (true, _) if roster.following.is_watching() => Source::Later { since: now },
+            (true, _) => Source::Later { since: roster.listed_at },
+            (false, true) => Source::AfterKnown,
+            (false, false) => Source::First,
+        };
+        let is_new = |id: &str, stated: Micros| {
+            let known = self.by_name.get(id).and_then(|slot| self.upstreams.get(*slot)?.started);
+            known.is_none_or(|known| known.0 != stated)
+        };
+        let newcomer = |entry: &Value| {
+            let (id, stated) = (text(entry, "uid").ok()?, stated_start(entry).ok()?);
+            is_new(id, stated).then_some(stated)
+        };
+        let newcomers: Vec<Micros> = entries.iter().filter_map(newcomer).collect();
+        let starts = StartTimes::new(now, roster.clock_behind, source, &newcomers);
+        self.roster.clock_behind = starts.behind();
+        starts
+    }
+
+    /// When the process of an upstream started; of one that is known it is not asked again, whatever clocks did since.
+    fn started(&mut self, id: &str, stated: Micros, starts: StartTimes) -> Micros {
+        let slot = self.upstream(id);
+        let Some(upstream) = self.upstreams.get_mut(slot) else { return 0 };
+        match upstream.started {
+            Some((known, at)) if known == stated => at,
+            _ => {
+                let at = starts.started(stated);
+                upstream.started = Some((stated, at));
+                at
+            }
+        }
+    }
+
     /// Before a whole list: what it does not name is gone.
     fn all_gone(&mut self, now: Micros, stays_open: bool) {
         for upstream in self.upstreams.values_mut() {
@@ -396,6 +444,11 @@
     }
 }
 
+/// The start of an upstream's process as the list states it, in microseconds of Unix time.
+fn stated_start(entry: &Value) -> Decoded<Micros> {
+    Ok(optional(entry, "boot_ms", Value::as_u64)?.unwrap_or(0).saturating_mul(1000))
+}
+
 type Found = (Vec<std::ops::Range<usize>>, usize, bool);
 
 /// The body of a whole answer, its end, and whether the connection lasts; nothing while part is missing.
--- a/node/src/wire/following.rs
+++ b/node/src/wire/following.rs
@@ -109,6 +109,11 @@
         self.call != Call::None
     }
 
+    /// Whether a watch is out, which is answered as soon as there is news.
+    pub fn is_watching(&self) -> bool {
+        self.call == Call::Out && self.watches
+    }
+
     pub fn failures(&self) -> u32 {
         self.failures
     }
@@ -160,6 +165,8 @@
         self.news = news;
         match self.known {
             Some(known) if !whole => self.known = Some(version).filter(|version| *version >= known),
+            // Who counts otherwise now did not tell all that changed: the whole is asked for.
+            None if !whole && self.version.is_some_and(|here| version < here) => self.version = None,
             _ => (self.version, self.known) = (Some(version), None),
         }
     }
--- a/node/src/wire/following/tests.rs
+++ b/node/src/wire/following/tests.rs
@@ -363,4 +363,11 @@
     following.listed(5, false, true);
     following.answered(SECOND);
     assert_eq!(following.ask(SECOND, true, Some(WITHIN), 1), None);
+    // Also where the list was discovery's own: it was started anew and told what changed since a later version.
+    following.listed(41, true, true);
+    following.answered(2 * SECOND);
+    following.ask(2 * SECOND, true, Some(WITHIN), 1);
+    following.listed(3, false, false);
+    following.answered(3 * SECOND);
+    assert_eq!(following.ask(3 * SECOND, true, Some(WITHIN), 1), None);
 }
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -9,5 +9,6 @@
 pub mod heads;
 pub mod peers;
 pub mod sending;
+pub mod starts;
 pub mod tickets;
 pub mod upstreams;
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -28,7 +28,7 @@
 
 /// How long a connection rests after an answer: what else its upstream sends behind it, or its close, is seen
 /// before another ticket is written to it and takes that for its answer.
-const REST: Micros = 1_000;
+const REST: Micros = 10_000;
 
 /// How often the log tells of a want of descriptors.
 const SHORTAGE_TOLD_APART: Micros = 1_000_000;
