Soak: real processes under drawn, overlapping troubles, a failing system and a stepping clock

Change: `pinefront-lab soak` draws settings and two knots of two or three overlapping troubles from a seed, plays them with 4 to 12 real balancers, prints a line a seed, keeps and shrinks failing schedules, and counts which pairs met. `lab/shim/shim.c`, preloaded into balancers, fails accept, socket and connect, interrupts and cuts reads and writes short, breaks connections, steps CLOCK_REALTIME, holds the process up before a write. Balancers come back with the list of before; changes count as told 6 s on. The judge knows told time, clients that left, half requests kept for over 3 s, requests behind another. Violations of balancers' guards fail a seed.

Not reached: calls past the C library (epoll), connections that come up late.

--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -6,6 +6,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -17,8 +18,11 @@
 
 use crate::fleet::duties::DutyLines;
 use crate::http;
+use crate::system::{self, System};
 use crate::world::locked;
 
+/// How a balancer's log begins a line about a guard that was violated.
+const VIOLATION: &str = "WARN violation";
 /// Log lines kept of each balancer.
 const LINES_KEPT: usize = 20;
 /// How long a balancer may take to get ready, and to end after SIGTERM.
@@ -76,11 +80,19 @@
     pub number: usize,
     pub listen: SocketAddr,
     config: PathBuf,
+    /// What the configuration file holds.
+    told: Value,
+    /// Where it finds discovery, and where a new configuration moves that to.
+    discovery: [SocketAddr; 2],
+    /// The library that is loaded into it, where the day has one.
+    pub system: Option<System>,
     /// Its operator file, where the day has one.
     pub operator: Option<PathBuf>,
     binary: PathBuf,
     child: Option<Child>,
     lines: Arc<Mutex<VecDeque<String>>>,
+    /// Violations that its guards told of.
+    pub violations: Arc<AtomicU64>,
     /// Where lines about duties go, of all balancers.
     pub duty_lines: DutyLines,
     /// Of processes that have ended.
@@ -92,13 +104,13 @@
 
 impl Balancer {
     pub fn new(
-        day: &Day, seed: u64, number: usize, binary: &Path, folder: &Path, discovery: SocketAddr,
+        day: &Day, seed: u64, number: usize, binary: &Path, folder: &Path, discovery: [SocketAddr; 2],
         operator: Option<PathBuf>,
     ) -> io::Result<Self> {
         // Nobody else takes the port meanwhile unless the machine is short of them; then the start says so.
         let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
         let told = json!({
-            "name": format!("b{number}"), "listen": listen.to_string(), "discovery": discovery.to_string(),
+            "name": format!("b{number}"), "listen": listen.to_string(), "discovery": discovery[0].to_string(),
             "seed": format!("{:016x}", Chance::split(seed, "balancer", number as u64).whole()),
             "limits": {"cores": 1.0, "memory_mb": 512, "sockets": 4096}, "settings": settings(day, number),
         });
@@ -108,10 +120,14 @@
             number,
             listen,
             config,
+            told,
+            discovery,
+            system: None,
             operator,
             binary: binary.to_owned(),
             child: None,
             lines: Arc::default(),
+            violations: Arc::default(),
             duty_lines: DutyLines::default(),
             used: Used::default(),
             deaths: Vec::new(),
@@ -119,8 +135,30 @@
         })
     }
 
+    /// Has it read a new configuration, which moves discovery to its other address.
+    pub fn reload(&mut self) -> io::Result<()> {
+        self.discovery.reverse();
+        self.told["discovery"] = self.discovery[0].to_string().into();
+        std::fs::write(&self.config, self.told.to_string())?;
+        if let Some(pid) = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32)) {
+            // One that has ended already needs no signal.
+            let _ = kill_process(pid, Signal::HUP);
+        }
+        Ok(())
+    }
+
+    /// The list that it is started with the next time.
+    pub fn knows(&mut self, list: Value) -> io::Result<()> {
+        self.told["known"] = list;
+        std::fs::write(&self.config, self.told.to_string())
+    }
+
     pub fn start(&mut self) -> io::Result<()> {
-        let mut child = Command::new(&self.binary)
+        let mut command = Command::new(&self.binary);
+        if let Some(system) = &self.system {
+            command.env("LD_PRELOAD", &system.library).env(system::CONTROL, &system.control);
+        }
+        let mut child = command
             .arg("serve")
             .arg("--config")
             .arg(&self.config)
@@ -139,10 +177,12 @@
             })?;
         if let Some(stderr) = child.stderr.take() {
             let (lines, duty_lines, number) = (Arc::clone(&self.lines), self.duty_lines.clone(), self.number);
+            let violations = Arc::clone(&self.violations);
             // Ends with the process.
             std::thread::spawn(move || {
                 for line in BufReader::new(stderr).lines().map_while(Result::ok) {
                     duty_lines.take(number, &line);
+                    violations.fetch_add(u64::from(line.starts_with(VIOLATION)), Ordering::Relaxed);
                     let mut lines = locked(&lines);
                     if lines.len() >= LINES_KEPT {
                         lines.pop_front();
--- a/lab/src/clients.rs
+++ b/lab/src/clients.rs
@@ -10,7 +10,7 @@
 
 use hdrhistogram::Histogram;
 use pinefront_model::Micros;
-use pinefront_model::day::Effect;
+use pinefront_model::day::{Effect, Kind};
 use pinefront_model::judge::{Outcome, Seen};
 use pinefront_model::service::Tally;
 use pinefront_model::traffic::{self, Ticket};
@@ -31,6 +31,11 @@
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// Numbers of later tries, far from those of first ones.
 const LATER_TRIES: u64 = 1 << 40;
+/// A request that is sent behind another at once, and how long its answer may take.
+const FURTHER: &[u8] = b"GET /health/live HTTP/1.1\r\nHost: lab\r\n\r\n";
+const FURTHER_WITHIN: Duration = Duration::from_secs(2);
+/// Pieces that a request is written in at most.
+const PIECES_MOST: usize = 12;
 /// The longest time a histogram tells apart.
 const LONGEST_US: u64 = 60_000_000;
 
@@ -257,11 +262,20 @@
 ) -> Option<End> {
     let world = &load.world;
     let number = ticket.number;
-    if stream.write_all(text).await.is_err() {
+    let further = ticket.leaves_after.is_none() && world.strikes(Kind::ClientsPipeline);
+    let both = if further { [text, FURTHER].concat() } else { text.to_vec() };
+    let in_pieces = !further && world.strikes(Kind::ClientsInPieces);
+    let wrote = match in_pieces {
+        true => http::in_pieces(&mut stream, &both, 1 + world.draw(PIECES_MOST)).await,
+        false => stream.write_all(&both).await,
+    };
+    if wrote.is_err() {
         return (!kept).then_some(End::Unreached);
     }
     let written = world.now();
-    locked(&load.collected).lateness.saturating_record(written.saturating_sub(ticket.due).max(1));
+    if !in_pieces {
+        locked(&load.collected).lateness.saturating_record(written.saturating_sub(ticket.due).max(1));
+    }
     let hard_stop = written + ticket.wait;
     world.note(written, Seen::Taken { ticket: number, balancer, use_case: ticket.use_case, hard_stop });
     let until: Instant = world.clock.at(hard_stop) + WAITS_ON;
@@ -291,9 +305,22 @@
     let genuine = outcome != Outcome::Succeeded
         || heard[answer.body.clone()] == *body(&format!("{number:016x}")).as_bytes();
     world.note(now, Seen::Answered { ticket: number, outcome, genuine });
+    let come_back = answer.retry_after.filter(|after| after.is_finite() && *after >= 0.0);
+    let answered = End::Answered(outcome, come_back.map(|after| (after * 1e6) as Micros));
+    heard.drain(..answer.end);
+    if further && answer.lasts {
+        let second = timeout(FURTHER_WITHIN, http::read_answer(&mut stream, &mut heard)).await;
+        let lost = !matches!(&second, Ok(Ok(_)));
+        if lost && world.undisturbed_since(balancer, written) {
+            let what = format!("the request behind ticket {number} got no answer from balancer {balancer}");
+            locked(&world.ledger).broken(1, world.now(), what);
+        }
+        if !second.is_ok_and(|second| second.is_ok_and(|second| second.lasts)) {
+            return Some(answered);
+        }
+    }
     if answer.lasts {
         pools.borrow_mut()[balancer].push(stream);
     }
-    let come_back = answer.retry_after.filter(|after| after.is_finite() && *after >= 0.0);
-    Some(End::Answered(outcome, come_back.map(|after| (after * 1e6) as Micros)))
+    Some(answered)
 }
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -57,6 +57,8 @@
     pub rules_broken_count: usize,
     /// Processes that ended by themselves, with their last log lines.
     pub deaths: Vec<String>,
+    /// Violations that balancers' own guards told of.
+    pub violations: u64,
     pub cpu_us_per_ticket: f64,
     pub memory_mb: f64,
     /// Of the lab itself: stand-ins, load and judge.
@@ -94,6 +96,7 @@
         let known = self.known.as_ref();
         self.rules_broken_count == 0
             && self.deaths.is_empty()
+            && self.violations == 0
             && known.is_none_or(|known| known.wrongly_gone == 0 && known.views_agree_after_ms.is_some())
             && known.and_then(|known| known.duties.as_ref()).is_none_or(DutiesFound::is_sound)
     }
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -2,6 +2,7 @@
 //! and spoil what it sends, and load must know when the last byte left and came.
 
 use std::io;
+use std::time::Duration;
 
 use httparse::{Header, Request, Response, Status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -168,9 +169,21 @@
 }
 
 /// A plain answer with a body.
+pub fn answer_text(status: &str, fields: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
 pub async fn answer(stream: &mut TcpStream, status: &str, fields: &str, body: &str) -> io::Result<()> {
-    let text = format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len());
-    stream.write_all(text.as_bytes()).await
+    stream.write_all(answer_text(status, fields, body).as_bytes()).await
+}
+
+/// Writes in so many pieces, with a millisecond between two.
+pub async fn in_pieces(stream: &mut TcpStream, bytes: &[u8], pieces: usize) -> io::Result<()> {
+    for piece in bytes.chunks(bytes.len().div_ceil(pieces).max(1)) {
+        stream.write_all(piece).await?;
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    Ok(())
 }
 
 /// Whether an idle connection can still be used: nothing came and it has not ended.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -14,8 +14,12 @@
 mod pace;
 mod play;
 mod report;
+mod soak;
 mod stand;
 mod standing;
+mod stopping;
+mod system;
+mod told;
 mod world;
 
 use std::path::{Path, PathBuf};
@@ -60,6 +64,8 @@
     Accord(AccordOf),
     /// Goes through every order of events of a few members and one duty, to a depth
     Explore(Explore),
+    /// Plays days drawn from seeds, with troubles that overlap, until a rule is broken or all are played
+    Soak(Soak),
     /// Plays a day with plain policies as stand-in balancers, to compare with
     Baseline(Compare),
 }
@@ -111,6 +117,70 @@
     report: Option<PathBuf>,
 }
 
+#[derive(Args)]
+struct Soak {
+    /// From the first seed up to the last, which is left out
+    #[arg(long, default_value = "0..10", value_parser = seeds)]
+    seeds: std::ops::Range<u64>,
+    /// How long each day is
+    #[arg(long = "for", default_value = "20s", value_parser = span)]
+    lasts: Duration,
+    /// Days that are played side by side
+    #[arg(long, default_value_t = 3)]
+    parallel: usize,
+    /// How many balancers, in place of a drawn number
+    #[arg(long)]
+    balancers: Option<usize>,
+    /// Requests a second
+    #[arg(long, default_value_t = 200.0)]
+    rate: f64,
+    /// A trouble that every day has beside the drawn ones
+    #[arg(long)]
+    with: Vec<String>,
+    /// Where the schedules of failing seeds are kept
+    #[arg(long, default_value = "target/soak")]
+    save: PathBuf,
+    /// Leave out what a failing schedule does not need
+    #[arg(long)]
+    shrink: bool,
+    /// The balancer's program; the one beside this program where none is named
+    #[arg(long)]
+    binary: Option<PathBuf>,
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+fn soak(options: &Soak, over: &Arc<AtomicBool>) -> Result<(), Failure> {
+    let shape = soak::schedule::Shape {
+        seconds: options.lasts.as_secs().max(8),
+        balancers: options.balancers,
+        rate: options.rate,
+        with: options.with.clone(),
+    };
+    let wish = soak::Wish {
+        seeds: options.seeds.clone(),
+        shape,
+        parallel: options.parallel,
+        save: options.save.clone(),
+        shrinks: options.shrink,
+        who: Who::Binary(options.binary.clone().unwrap_or_else(balancers::own_binary)),
+    };
+    let found = soak::soak(&wish, over);
+    println!(
+        "{} days played, {} broke a rule, {} on a machine that was late, {} not played; {} pairs of troubles met",
+        found.played.len(),
+        found.failed,
+        found.invalid,
+        found.not_played.len(),
+        found.pairs.len()
+    );
+    write_json(options.json.as_deref(), &found)?;
+    match found.failed + found.not_played.len() {
+        0 => Ok(()),
+        _ => Err(Failure::Failed("a rule was broken or a day not played; see above".into())),
+    }
+}
+
 #[derive(Args)]
 struct Compare {
     day: PathBuf,
@@ -719,6 +789,7 @@
         Command::Overhead(options) => overhead(options, &over),
         Command::Fleet(options) => fleet_day(options, &over),
         Command::Explore(options) => explore(options, &over),
+        Command::Soak(options) => soak(options, &over),
         Command::Accord(options) => accord_of(options, &over),
         Command::Baseline(options) => compare(options, &over),
     };
--- a/lab/src/overhead.rs
+++ b/lab/src/overhead.rs
@@ -111,7 +111,7 @@
     let company = company.map_err(|problem| format!("cannot start the fleet's other members: {problem}"))?;
     let operator = company.as_ref().map(|company| company.operator_file(&folder.0)).transpose();
     let operator = operator.map_err(|problem| problem.to_string())?;
-    let child = Balancer::new(&world.day, 1, 0, &wishes.binary, &folder.0, discovery, operator);
+    let child = Balancer::new(&world.day, 1, 0, &wishes.binary, &folder.0, [discovery; 2], operator);
     let mut child = child.map_err(|problem| problem.to_string())?;
     child.start().map_err(|problem| problem.to_string())?;
     let listen = child.listen;
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -25,6 +25,9 @@
 use crate::fleet::{Addresses, Known};
 use crate::pace::{self, pace};
 use crate::stand;
+use crate::stopping;
+use crate::system::{self, System};
+use crate::told;
 use crate::world::{World, locked};
 
 /// Threads of the world's stand-ins, and of the load.
@@ -172,6 +175,13 @@
         }
         false => None,
     };
+    let system = match System::is_wanted(&world.day) {
+        true => Some(System::build(&folder.0).map_err(|problem| format!("no library: {problem}"))?),
+        false => None,
+    };
+    if let Some(system) = &system {
+        tokio::spawn(system::drive(Arc::clone(world), system.clone()));
+    }
     let sockets = hear.as_mut().map(|hear| std::mem::take(&mut hear.sockets)).unwrap_or_default();
     for (from, to, socket) in sockets {
         let heard_at = hear_at(hear.as_ref(), to)?;
@@ -182,9 +192,11 @@
         flood(world, &hear.heard_at, &relayed).map_err(|problem| format!("no strangers: {problem}"))?;
     }
     for number in 0..*world.day.balancers.get_ref() {
-        let discovery = stand::discovery(world, number)
-            .await
-            .map_err(|problem| format!("cannot start discovery: {problem}"))?;
+        let mut discovery = Vec::new();
+        for _ in 0..2 {
+            let address = stand::discovery(world, number).await;
+            discovery.push(address.map_err(|problem| format!("cannot start discovery: {problem}"))?);
+        }
         match who {
             Who::Policy(policy) => {
                 let address = baseline::start(world, *policy, number).await;
@@ -196,11 +208,20 @@
                     hear.as_ref().map(|hear| hear.operator_file(&world.day, number, number, &folder.0));
                 let operator =
                     operator.transpose().map_err(|problem| format!("no operator file: {problem}"))?;
-                let child =
-                    Balancer::new(&world.day, world.seed, number, binary, &folder.0, discovery, operator);
+                let child = Balancer::new(
+                    &world.day,
+                    world.seed,
+                    number,
+                    binary,
+                    &folder.0,
+                    [discovery[0], discovery[1]],
+                    operator,
+                );
                 let mut child =
                     child.map_err(|problem| format!("cannot set up balancer {number}: {problem}"))?;
                 child.duty_lines = duty_lines.clone();
+                child.system.clone_from(&system);
+                world.lives(number, true);
                 child.start().map_err(|problem| format!("cannot start a balancer: {problem}"))?;
                 addresses.push(child.listen);
                 locked(&children).push(child);
@@ -233,10 +254,28 @@
                 && let Some(child) = locked(&children).get(balancer)
             {
                 child.stop(stops);
+                load.world.disturb(balancer);
                 load.world.note(load.world.now(), Seen::Stalled { balancer });
             }
             continue;
         }
+        if let What::BalancerReloads(balancer) = what {
+            if let Some(child) = locked(&children).get_mut(balancer)
+                && let Err(problem) = child.reload()
+            {
+                eprintln!("pinefront-lab: no new configuration: {problem}");
+            }
+            continue;
+        }
+        if let What::BalancerKilled(balancer) | What::BalancerStopped(balancer) = what {
+            let list = load.world.list_now();
+            if let Some(child) = locked(&children).get_mut(balancer)
+                && let Err(problem) = child.knows(list)
+            {
+                eprintln!("pinefront-lab: no known list: {problem}");
+            }
+            load.world.lives(balancer, false);
+        }
         if !matches!(what, What::BalancerStarts(_) | What::BalancerTakesPlace(..)) {
             locked(&views).happens(now, what, 0);
         }
@@ -279,6 +318,7 @@
                         }
                         None => Ok(()),
                     };
+                    load.world.lives(balancer, true);
                     let ready = match started {
                         Ok(()) => wait_ready(&children, balancer).await,
                         Err(problem) => Err(problem.to_string()),
@@ -327,6 +367,8 @@
         by_hand(&world, &balancing);
     }
     world.clock.begin();
+    runtime.spawn(told::count(Arc::clone(&world), balancing.addresses.len()));
+    runtime.spawn(stopping::stop_in_the_middle(Arc::clone(&world), balancing.addresses.clone()));
     let (events, seen) = mpsc::unbounded_channel();
     runtime.spawn(drive(Arc::clone(&world), events));
     let (children, judged) = (Arc::clone(&balancing.children), Arc::clone(&views));
@@ -344,13 +386,14 @@
         ..locked(&views).found()
     });
     locked(&world.ledger).finish(world.now());
-    let (mut cpu, mut memory, mut deaths) = (0, 0, Vec::new());
+    let (mut cpu, mut memory, mut deaths, mut violations) = (0, 0, Vec::new(), 0);
     for child in locked(&balancing.children).iter_mut() {
         let used = child.used();
         cpu += used.cpu_us;
         memory = memory.max(used.memory_kb);
         child.end();
         deaths.append(&mut child.deaths);
+        violations += child.violations.load(Ordering::Relaxed);
     }
     if let Some(known) = known.as_mut().filter(|_| day.duties > 0 || day.roster) {
         // The readers of the processes' logs end with these.
@@ -368,6 +411,7 @@
         balancers: *day.balancers.get_ref(),
         servers: sends.len(),
         deaths,
+        violations,
         cpu_us_per_ticket: cpu.saturating_sub(before) as f64 / asked,
         memory_mb: memory as f64 / 1024.0,
         lab_memory_mb: used(std::process::id()).memory_kb as f64 / 1024.0,
--- /dev/null
+++ b/lab/src/soak/mod.rs
@@ -0,0 +1,165 @@
+//! The soak: days drawn from seeds, with two or three troubles that overlap in time on purpose, played with real
+//! processes and judged from what clients, servers and discovery saw.
+
+mod coverage;
+pub mod schedule;
+mod shrink;
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use pinefront_model::check;
+use pinefront_model::day::Day;
+use serde::Serialize;
+
+use crate::figures::Figures;
+use crate::play::{Who, Wishes, play};
+use crate::soak::coverage::Pair;
+use crate::soak::schedule::Shape;
+use crate::world::locked;
+
+/// What is wanted.
+pub struct Wish {
+    pub seeds: std::ops::Range<u64>,
+    pub shape: Shape,
+    /// Days that are played side by side.
+    pub parallel: usize,
+    /// Where schedules of failing seeds are kept.
+    pub save: PathBuf,
+    pub shrinks: bool,
+    pub who: Who,
+}
+
+/// One seed's day.
+#[derive(Clone, Debug, Serialize)]
+pub struct Played {
+    pub seed: u64,
+    pub troubles: Vec<String>,
+    pub asked: u64,
+    pub succeeded: u64,
+    /// False where the machine lagged: what it found is shown and does not count for it.
+    pub valid: bool,
+    pub why_invalid: Vec<String>,
+    pub broken: Vec<String>,
+    pub broken_count: usize,
+    pub violations: u64,
+    pub deaths: Vec<String>,
+    /// The command that plays it again, where it failed.
+    pub again: Option<String>,
+}
+
+impl Played {
+    pub fn is_sound(&self) -> bool {
+        self.broken_count == 0 && self.violations == 0 && self.deaths.is_empty()
+    }
+}
+
+/// All of them.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Found {
+    pub played: Vec<Played>,
+    pub failed: usize,
+    pub invalid: usize,
+    pub pairs: Vec<Pair>,
+    /// Seeds that the lab itself could not play, and why.
+    pub not_played: Vec<String>,
+}
+
+/// Reads a schedule that was drawn.
+pub fn day_of(text: &str) -> Result<Day, String> {
+    check::read(text, "soak")
+        .map_err(|problems| problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))
+}
+
+fn played(seed: u64, day: &Day, figures: &Figures) -> Played {
+    Played {
+        seed,
+        troubles: schedule::troubles(day),
+        asked: figures.tickets.asked,
+        succeeded: figures.tickets.succeeded,
+        valid: figures.valid,
+        why_invalid: figures.why_invalid.clone(),
+        broken: figures.rules_broken.clone(),
+        broken_count: figures.rules_broken_count,
+        violations: figures.violations,
+        deaths: figures.deaths.clone(),
+        again: None,
+    }
+}
+
+/// Plays one seed. A failing one is kept as a file, as small as it can be made where that is wanted.
+fn one(wish: &Wish, seed: u64, over: &Arc<AtomicBool>) -> Result<(Played, Day), String> {
+    let text = schedule::draw(seed, &wish.shape);
+    let day = day_of(&text)?;
+    let wishes = Wishes { over: Arc::clone(over), ..Wishes::default() };
+    let figures = play(&day, seed, &wish.who, &wishes)?;
+    let mut played = played(seed, &day, &figures);
+    if !played.is_sound() {
+        let text = if wish.shrinks { shrink::shrink(&text, seed, &wish.who, over) } else { text };
+        std::fs::create_dir_all(&wish.save).map_err(|problem| problem.to_string())?;
+        let path = wish.save.join(format!("soak-{seed}.toml"));
+        std::fs::write(&path, text).map_err(|problem| format!("{}: {problem}", path.display()))?;
+        played.again = Some(format!("pinefront-lab run {} --seed {seed}", path.display()));
+    }
+    Ok((played, day))
+}
+
+fn say(played: &Played) {
+    let verdict = match (played.is_sound(), played.valid) {
+        (true, true) => "kept",
+        (true, false) => "kept, machine late",
+        (false, _) => "BROKEN",
+    };
+    println!(
+        "seed {:>5}  {verdict:<18} {:>5} asked {:>5} served  {}",
+        played.seed,
+        played.asked,
+        played.succeeded,
+        played.troubles.join(" + ")
+    );
+    played.broken.iter().take(3).for_each(|broken| println!("    {broken}"));
+    if played.violations > 0 {
+        println!("    {} violations of balancers' guards", played.violations);
+    }
+    played.deaths.iter().for_each(|death| println!("    {death}"));
+    played.again.iter().for_each(|again| println!("    again: {again}"));
+}
+
+/// Plays all seeds, some side by side.
+pub fn soak(wish: &Wish, over: &Arc<AtomicBool>) -> Found {
+    let next = AtomicU64::new(wish.seeds.start);
+    let (found, days) = (Mutex::new(Found::default()), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..wish.parallel.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= wish.seeds.end || over.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    match one(wish, seed, over) {
+                        Ok((played, day)) => {
+                            say(&played);
+                            locked(&days).push((played.asked, day));
+                            locked(&found).played.push(played);
+                        }
+                        Err(problem) => {
+                            println!("seed {seed:>5}  not played: {problem}");
+                            locked(&found).not_played.push(format!("seed {seed}: {problem}"));
+                        }
+                    }
+                }
+            });
+        }
+    });
+    let mut found = found.into_inner().unwrap_or_default();
+    found.played.sort_by_key(|played| played.seed);
+    found.failed = found.played.iter().filter(|played| !played.is_sound()).count();
+    found.invalid = found.played.iter().filter(|played| !played.valid).count();
+    found.pairs = coverage::pairs(&locked(&days));
+    found
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/lab/src/soak/tests.rs
@@ -0,0 +1,30 @@
+use proptest::prelude::*;
+
+use super::*;
+
+const SHAPE: Shape = Shape { seconds: 20, balancers: None, rate: 200.0, with: Vec::new() };
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+    #[test]
+    fn every_seed_draws_a_day_that_can_be_played(seed in any::<u64>()) {
+        let text = schedule::draw(seed, &SHAPE);
+        let day = day_of(&text);
+        prop_assert!(day.is_ok(), "{:?}\n{text}", day.err());
+        prop_assert_eq!(schedule::draw(seed, &SHAPE), text);
+    }
+}
+
+#[test]
+fn troubles_overlap_in_most_days() {
+    let days: Vec<_> = (0..50).map(|seed| (0, day_of(&schedule::draw(seed, &SHAPE)).unwrap())).collect();
+    let met = |day: &(u64, Day)| !coverage::pairs(std::slice::from_ref(day)).is_empty();
+    assert!(days.iter().filter(|day| met(day)).count() >= 45);
+}
+
+#[test]
+fn shrinking_keeps_what_makes_it_fail() {
+    let parts = ["head", "a", "b", "c", "d"];
+    let fails = |parts: &[&str]| parts.contains(&"b") && parts.contains(&"d");
+    assert_eq!(shrink::without_needless(&parts, fails), ["head", "b", "d"]);
+}
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pinefront_model::Micros;
+use pinefront_model::day::Kind;
 use pinefront_model::discovery::State;
 use pinefront_model::faults::Telling;
 use pinefront_model::judge::Seen;
 use pinefront_model::server::How;
+use pinefront_model::{Micros, SECOND};
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +21,12 @@
 
 /// The longest that a watch waits, whatever it asks for.
 const WATCH_MOST: Duration = Duration::from_secs(60);
+/// Pieces that an answer is written in.
+const PIECES: usize = 6;
+/// How late a second answer comes at most: some milliseconds.
+const LATE_MOST_US: usize = 6_000;
+/// Part of the answers without a length that are reset on the way.
+const RESET_ON_THE_WAY: f64 = 0.33;
 /// How long a stand-in without a next moment sleeps before it looks again all the same.
 const LOOKS_AT_LEAST: Duration = Duration::from_secs(1);
 
@@ -98,7 +105,7 @@
 
 /// Takes tickets on a connection, one after the other, until it ends.
 async fn carry(world: &World, stand: &Stand, stream: &mut TcpStream) -> Over {
-    let idle = Duration::from_micros(world.day.fleet.idle.0);
+    let usual_idle = Duration::from_micros(world.day.fleet.idle.0);
     let mut kept = Vec::new();
     let mut handshake = world.day.fleet.handshake.0 as f64;
     loop {
@@ -109,8 +116,11 @@
                 Ok(None) => {}
                 Err(_) => return Over::Closed,
             }
+            let short = world.line().wide(Kind::IdleClosed, world.now());
+            let idle = short.map_or(usual_idle, |(_, by)| usual_idle.min(Duration::from_micros(by)));
             match timeout(idle, http::more(stream, &mut kept)).await {
                 Ok(Ok(true)) => _ = began.get_or_insert_with(|| world.now()),
+                Err(_) if short.is_some() && kept.is_empty() && world.drawn(0.5) => return Over::Reset,
                 // It ended, broke, or stood idle for too long.
                 _ => return Over::Closed,
             }
@@ -129,6 +139,9 @@
             }
             continue;
         };
+        if let Some((ticket, told)) = known.zip(asked.remaining_ms) {
+            world.note(world.now(), Seen::ToldTime { ticket, began, told: told * 1000 });
+        }
         let (job, answer) = world.sent(stand, known, &ticket, began, std::mem::take(&mut handshake));
         let how = tokio::select! {
             how = answer => how.unwrap_or(How::Died),
@@ -138,6 +151,9 @@
                 return Over::Closed;
             }
         };
+        if how == How::Answered && world.strikes(Kind::AnswersUnended) {
+            return unended(stream, &id, world.drawn(RESET_ON_THE_WAY)).await;
+        }
         let written = match how {
             How::Answered => succeeded(world, stand, stream, &id).await,
             How::Spoilt => {
@@ -172,7 +188,28 @@
             load.in_flight, load.queue, load.utilisation
         )
     });
-    http::answer(stream, "200 OK", &load, &body(id)).await
+    if world.strikes(Kind::AnswersInPieces) {
+        let text = http::answer_text("200 OK", &load, &body(id));
+        http::in_pieces(stream, text.as_bytes(), PIECES).await?;
+    } else {
+        http::answer(stream, "200 OK", &load, &body(id)).await?;
+    }
+    if world.strikes(Kind::AnswersTwice) {
+        tokio::time::sleep(Duration::from_micros(1 + world.draw(LATE_MOST_US) as u64)).await;
+        http::answer(stream, "200 OK", "", "a second answer\n").await?;
+    }
+    Ok(())
+}
+
+/// An answer that states no length, and ends with its connection: in order, or by a reset on the way.
+async fn unended(stream: &mut TcpStream, id: &str, resets: bool) -> Over {
+    let body = body(id);
+    let sent = if resets { &body[..body.len() / 2] } else { &body };
+    let text = format!("HTTP/1.1 200 OK\r\n\r\n{sent}");
+    let written = stream.write_all(text.as_bytes()).await;
+    // The reset must not overtake what was written.
+    tokio::time::sleep(Duration::from_millis(2)).await;
+    if resets || written.is_err() { Over::Reset } else { Over::Closed }
 }
 
 /// The body that a server makes for a ticket.
@@ -219,9 +256,18 @@
         };
         world.calls.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let (since, wait) = (number("since"), Duration::from_millis(number("timeout_ms").unwrap_or(0)));
+        let began = world.now();
         if let Some(since) = since {
             wait_for_news(&world, since, wait.min(WATCH_MOST)).await;
         }
+        let silent = world.line().began(Kind::WatchesSilent, began, world.now());
+        if let Some(silent) = silent.filter(|_| since.is_some()) {
+            let over = began + wait.as_micros() as Micros + 2 * SECOND;
+            world.excuse(balancer, over.max(silent + 6 * SECOND));
+            // Nothing says that nothing will come.
+            while let Ok(true) = http::more(&mut stream, &mut kept).await {}
+            return;
+        }
         match world.line().telling(world.now()) {
             Telling::Gone => return http::reset(stream),
             Telling::Fine | Telling::Stale(_) => {}
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -8,7 +8,7 @@
 
 use pinefront_model::Micros;
 use pinefront_model::chance::Chance;
-use pinefront_model::day::{Day, Effect, Fault, Group};
+use pinefront_model::day::{Day, Effect, Fault, Group, Kind};
 use pinefront_model::discovery::{Entry, Registry, State};
 use pinefront_model::faults::{Timeline, What};
 use pinefront_model::fleet;
@@ -69,6 +69,11 @@
     repeats: Mutex<Repeats>,
     jobs: AtomicU64,
     chance: Mutex<Chance>,
+    /// By balancer: its lives so far and whether it runs, and until when a silent watch excuses it.
+    lives: Mutex<HashMap<usize, (u64, bool)>>,
+    excused: Mutex<HashMap<usize, Micros>>,
+    /// When each was last stopped, killed, stalled or started: what it was doing then is nobody's fault.
+    disturbed: Mutex<HashMap<usize, Micros>>,
 }
 
 /// A lock whose holder panicked still holds what is true: every change here is whole before anything can fail.
@@ -96,6 +101,9 @@
             calls: AtomicU64::new(0),
             jobs: AtomicU64::new(0),
             chance: Mutex::new(Chance::split(seed, "spoilt", 0)),
+            lives: Mutex::default(),
+            excused: Mutex::default(),
+            disturbed: Mutex::default(),
             day,
         }
     }
@@ -148,6 +156,57 @@
         locked(&self.chance).below(end)
     }
 
+    /// Whether something that comes with that chance does.
+    pub fn drawn(&self, part: f64) -> bool {
+        part > 0.0 && locked(&self.chance).happens(part)
+    }
+
+    /// Whether a fault of that kind holds now and hits this time.
+    pub fn strikes(&self, kind: Kind) -> bool {
+        let wide = self.line().wide(kind, self.now());
+        wide.is_some_and(|(factor, _)| self.drawn(factor))
+    }
+
+    /// A balancer's process began or ended.
+    pub fn lives(&self, balancer: usize, runs: bool) {
+        let mut lives = locked(&self.lives);
+        let life = lives.entry(balancer).or_insert((0, false));
+        *life = (life.0 + u64::from(runs), runs);
+        self.disturb(balancer);
+    }
+
+    /// Which of its lives a balancer is in, if it runs.
+    pub fn life_of(&self, balancer: usize) -> Option<u64> {
+        locked(&self.lives).get(&balancer).filter(|life| life.1).map(|life| life.0)
+    }
+
+    pub fn disturb(&self, balancer: usize) {
+        locked(&self.disturbed).insert(balancer, self.now());
+    }
+
+    pub fn undisturbed_since(&self, balancer: usize, since: Micros) -> bool {
+        locked(&self.disturbed).get(&balancer).is_none_or(|at| *at < since)
+    }
+
+    /// A watch of a balancer fell silent: what it misses counts from then on.
+    pub fn excuse(&self, balancer: usize, until: Micros) {
+        let mut excused = locked(&self.excused);
+        let at = excused.entry(balancer).or_insert(0);
+        *at = (*at).max(until);
+    }
+
+    pub fn excused_until(&self, balancer: usize) -> Micros {
+        locked(&self.excused).get(&balancer).copied().unwrap_or(0)
+    }
+
+    /// The list as discovery has it now, as a balancer is given it at its start.
+    pub fn list_now(&self) -> serde_json::Value {
+        let now = self.now();
+        let (version, entries) = self.with_registry(|registry| registry.list(now));
+        let targets: Vec<_> = entries.iter().filter_map(|entry| self.entry(entry)).collect();
+        serde_json::json!({"rev": version, "all": true, "targets": targets})
+    }
+
     /// A ticket goes out: servers that get it know what it is.
     pub fn expect(&self, ticket: &Ticket) {
         let now = self.now();
@@ -287,6 +346,7 @@
             | What::BalancerStopped(_)
             | What::BalancerStarts(_)
             | What::BalancerTakesPlace(..)
+            | What::BalancerReloads(_)
             | What::BalancerPauses(_)
             | What::BalancerGoesOn(_) => Vec::new(),
         }
--- a/model/src/check.rs
+++ b/model/src/check.rs
@@ -252,7 +252,7 @@
         if begins >= *day.length.get_ref() {
             self.add(at, "faults.at", "lies behind the end of the day");
         }
-        if fault.lasts == Span(0) && !matches!(kind, Kind::Cold | Kind::Grow) {
+        if fault.lasts == Span(0) && !matches!(kind, Kind::Cold | Kind::Grow | Kind::BalancerReloaded) {
             self.add(at, "faults.for", "a fault that lasts no time");
         }
         match (kind.factor(), fault.factor) {
--- a/model/src/day.rs
+++ b/model/src/day.rs
@@ -67,6 +67,8 @@
     pub drain_grace: Span,
     /// Added to each time limit, for what sockets and the machine take.
     pub slack: Span,
+    /// How late a final answer may be without being lost, where that is more: it only earns nothing.
+    pub late: Span,
     /// A fresh server starts at this part of its capacity and rises evenly to all of it.
     pub cold_from: f64,
     pub warm_after: Span,
@@ -84,6 +86,7 @@
         Self {
             drain_grace: Span(400_000),
             slack: Span(50_000),
+            late: Span(0),
             cold_from: 0.3,
             warm_after: Span(8 * SECOND),
             cold_multiple: 3.0,
@@ -95,6 +98,13 @@
     }
 }
 
+impl Rules {
+    /// How late a final answer may be.
+    pub fn answer_late(&self) -> Micros {
+        self.slack.0.max(self.late.0)
+    }
+}
+
 /// The servers.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -328,6 +338,34 @@
     LinkSpoils,
     /// Strangers send the balancers named `factor` datagrams a second: noise, what was sent before, and that spoilt.
     LinkFlood,
+    /// Balancers have their configuration read anew (SIGHUP), which names another address of discovery.
+    BalancerReloaded,
+    /// Watches that are open at the beginning fall silent: nothing comes on them any more, and nothing says so.
+    WatchesSilent,
+    /// `factor` of the clients write their requests in pieces.
+    ClientsInPieces,
+    /// Clients stop in the middle of a request and stay, `factor` of them a second for each balancer.
+    ClientsStop,
+    /// `factor` of the clients send a further request behind the first at once.
+    ClientsPipeline,
+    /// Servers write `factor` of their answers in pieces.
+    AnswersInPieces,
+    /// `factor` of the answers state no length; a third of these are reset on the way.
+    AnswersUnended,
+    /// Behind `factor` of the answers comes a second one, some milliseconds late.
+    AnswersTwice,
+    /// Servers close or reset connections that stand idle for `by`.
+    IdleClosed,
+    /// `factor` of the balancers' calls to accept, open or connect a socket fail for the moment.
+    SystemFails,
+    /// `factor` of their reads and writes are interrupted, and as many are short.
+    CallsShort,
+    /// `factor` of their writes to upstreams break, as the network may.
+    ConnectionsBreak,
+    /// Balancers are held up before `factor` of their writes, for up to `by`.
+    HeldUp,
+    /// Their wall clock is ahead by `by`, or behind where `factor` is below 0.
+    ClockSteps,
 }
 
 /// One fault in the day's timeline. Which servers: by number, zone, machine type, part of the fleet, or all.
--- a/model/src/faults.rs
+++ b/model/src/faults.rs
@@ -42,6 +42,8 @@
     BalancerStarts(usize),
     /// It starts at the fleet address that the other had at first.
     BalancerTakesPlace(usize, usize),
+    /// It reads a new configuration.
+    BalancerReloads(usize),
     /// It is not run until it goes on.
     BalancerPauses(usize),
     BalancerGoesOn(usize),
@@ -55,6 +57,7 @@
             | Self::BalancerStopped(number)
             | Self::BalancerStarts(number)
             | Self::BalancerTakesPlace(number, _)
+            | Self::BalancerReloads(number)
             | Self::BalancerPauses(number)
             | Self::BalancerGoesOn(number) => Some(number),
             _ => None,
@@ -85,9 +88,34 @@
 impl Kind {
     /// Whether it hits servers that the fault names.
     pub fn hits_servers(self) -> bool {
-        !matches!(self, Self::Grow | Self::DiscoveryGone | Self::DiscoveryStale | Self::Burst)
-            && !self.hits_balancers()
-            && !self.hits_ways()
+        self != Self::Grow && !self.is_wide() && !self.hits_balancers() && !self.hits_ways()
+    }
+
+    /// Whether it holds for all alike while it lasts.
+    pub fn is_wide(self) -> bool {
+        matches!(self, Self::DiscoveryGone | Self::DiscoveryStale | Self::Burst)
+            || self.is_of_clients()
+            || self.is_of_answers()
+            || self.is_of_system()
+            || self == Self::WatchesSilent
+    }
+
+    /// Whether it is about what clients do.
+    pub fn is_of_clients(self) -> bool {
+        matches!(self, Self::ClientsInPieces | Self::ClientsStop | Self::ClientsPipeline)
+    }
+
+    /// Whether it is about how servers' answers and connections go.
+    pub fn is_of_answers(self) -> bool {
+        matches!(self, Self::AnswersInPieces | Self::AnswersUnended | Self::AnswersTwice | Self::IdleClosed)
+    }
+
+    /// Whether it is about the system that balancers run on.
+    pub fn is_of_system(self) -> bool {
+        matches!(
+            self,
+            Self::SystemFails | Self::CallsShort | Self::ConnectionsBreak | Self::HeldUp | Self::ClockSteps
+        )
     }
 
     /// Whether it lies on the ways between balancers.
@@ -111,6 +139,7 @@
                 | Self::BalancerStalled
                 | Self::BalancerHurt
                 | Self::BalancerSwapped
+                | Self::BalancerReloaded
         )
     }
 
@@ -125,6 +154,12 @@
             Self::Neighbour => Some((0.5, 0.0, 0.99)),
             Self::Slow => Some((3.0, 1.0, 1000.0)),
             Self::Errors | Self::Spoilt | Self::Reset | Self::Lost => Some((1.0, 0.0, 1.0)),
+            Self::ClientsInPieces | Self::ClientsPipeline => Some((0.3, 0.0, 1.0)),
+            Self::AnswersInPieces | Self::AnswersUnended | Self::AnswersTwice => Some((0.3, 0.0, 1.0)),
+            Self::ClientsStop => Some((2.0, 0.0, 20.0)),
+            Self::SystemFails | Self::CallsShort => Some((0.05, 0.0, 0.5)),
+            Self::ConnectionsBreak | Self::HeldUp => Some((0.003, 0.0, 0.2)),
+            Self::ClockSteps => Some((1.0, -1.0, 1.0)),
             Self::LinkLossy | Self::LinkRepeats | Self::LinkSpoils => Some((0.3, 0.0, 1.0)),
             Self::LinkFlood => Some((10_000.0, 1.0, 50_000.0)),
             Self::BalancerHurt => Some((0.5, 0.0, 0.9)),
@@ -135,7 +170,15 @@
     }
 
     pub fn takes_by(self) -> bool {
-        matches!(self, Self::ReportsLate | Self::DiscoveryStale | Self::LinkSlow)
+        matches!(
+            self,
+            Self::ReportsLate
+                | Self::DiscoveryStale
+                | Self::LinkSlow
+                | Self::IdleClosed
+                | Self::HeldUp
+                | Self::ClockSteps
+        )
     }
 }
 
@@ -188,6 +231,10 @@
             for (turn, &balancer) in named.iter().enumerate() {
                 let from = from + turn as u64 * each;
                 let to = from + lasts;
+                if fault.kind == Kind::BalancerReloaded {
+                    self.events.push((from, What::BalancerReloads(balancer)));
+                    continue;
+                }
                 let (goes, comes) = match fault.kind {
                     Kind::BalancerStopped => {
                         (What::BalancerStopped(balancer), What::BalancerStarts(balancer))
@@ -270,6 +317,16 @@
         self.wide.iter().filter(here).map(|at| (at.3, at.4))
     }
 
+    /// What a fault that holds for all is like at a moment: its factor and span.
+    pub fn wide(&self, kind: Kind, now: Micros) -> Option<(f64, Micros)> {
+        self.wide_at(kind, now).next()
+    }
+
+    /// Whether a fault of that kind began between two moments.
+    pub fn began(&self, kind: Kind, from: Micros, to: Micros) -> Option<Micros> {
+        self.wide.iter().filter(|at| at.0 == kind).map(|at| at.1).find(|at| (from..to).contains(at))
+    }
+
     /// The multiple of the usual traffic that bursts make.
     pub fn burst(&self, now: Micros) -> f64 {
         self.wide_at(Kind::Burst, now).map(|(factor, _)| factor).product()
--- a/model/src/judge.rs
+++ b/model/src/judge.rs
@@ -20,6 +20,9 @@
 const KEPT: Micros = 15 * SECOND;
 /// How often the ledger is cleared of what is over, in notes.
 const CLEARED_EVERY: u64 = 4096;
+/// How long after its client left an attempt may still begin, and how much more time it may tell than is left.
+const LEFT_SLACK: Micros = 100_000;
+const TOLD_SLACK: Micros = 150_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -45,6 +48,8 @@
     Taken { ticket: u64, balancer: usize, use_case: usize, hard_stop: Micros },
     /// A dispatch whose first byte was seen at `began` came whole to a server.
     Sent { ticket: u64, place: Place, began: Micros, work: f64 },
+    /// What an attempt that began then tells its server of the time that is left.
+    ToldTime { ticket: u64, began: Micros, told: Micros },
     /// The server proved that a dispatch did not run.
     NotRun { ticket: u64, server: usize },
     /// The effect took place.
@@ -70,6 +75,7 @@
         match *self {
             Self::Taken { ticket, .. }
             | Self::Sent { ticket, .. }
+            | Self::ToldTime { ticket, .. }
             | Self::NotRun { ticket, .. }
             | Self::Ran { ticket, .. }
             | Self::Answered { ticket, .. }
@@ -89,6 +95,7 @@
             Self::Sent { place, began, .. } => {
                 write!(out, "whole at s{}, begun {}", place.server, seconds(*began))
             }
+            Self::ToldTime { told, .. } => write!(out, "told {told} us"),
             Self::NotRun { server, .. } => write!(out, "turned away unrun by s{server}"),
             Self::Ran { server, .. } => write!(out, "ran at s{server}"),
             Self::Answered { outcome, genuine, .. } => {
@@ -142,6 +149,7 @@
     answered: Option<Micros>,
     lost: bool,
     excused: bool,
+    left: Option<Micros>,
 }
 
 /// What a rule keeps of a server: what it was sent lately while cold, and what each balancer was told of it.
@@ -199,6 +207,9 @@
                 let history = self.tickets.entry(ticket).or_default();
                 history.taken = Some((balancer, use_case, hard_stop));
                 history.excused |= killed;
+                let told: Vec<_> = history.seen.iter().map(|(_, seen)| *seen).collect();
+                told.into_iter().for_each(|seen| self.told_time(at, seen));
+                let history = self.tickets.entry(ticket).or_default();
                 // On sockets the answer may have been noted first.
                 if let Some(answered) = history.answered {
                     self.in_time(ticket, answered);
@@ -214,8 +225,10 @@
             Seen::Left { ticket } => {
                 if let Some(history) = self.tickets.get_mut(&ticket) {
                     history.excused = true;
+                    history.left.get_or_insert(at);
                 }
             }
+            Seen::ToldTime { .. } => self.told_time(at, seen),
             Seen::Told { balancer, server, drains } => {
                 let kept = self.servers.entry(server).or_default();
                 match drains {
@@ -257,11 +270,27 @@
     fn in_time(&mut self, ticket: u64, at: Micros) {
         let owed = self.tickets.get(&ticket).filter(|history| !history.excused);
         let Some((_, _, hard_stop)) = owed.and_then(|history| history.taken) else { return };
-        if at > hard_stop + self.rules.slack.0 {
+        if at > hard_stop + self.rules.answer_late() {
             self.break_of(1, at, Some(ticket), format!("answered {} us after its hard stop", at - hard_stop));
         }
     }
 
+    /// An attempt tells at most what its client has left.
+    fn told_time(&mut self, at: Micros, seen: Seen) {
+        let Seen::ToldTime { ticket, began, told } = seen else { return };
+        let taken = self.tickets.get(&ticket).and_then(|history| history.taken);
+        let Some((_, _, hard_stop)) = taken else { return };
+        if began + told > hard_stop + TOLD_SLACK + self.rules.slack.0 {
+            let what = format!("told {told} us where {} were left", hard_stop.saturating_sub(began));
+            self.break_of(1, at, Some(ticket), what);
+        }
+    }
+
+    /// A break that no ledger of requests shows.
+    pub fn broken(&mut self, rule: u8, at: Micros, what: String) {
+        self.break_of(rule, at, None, what);
+    }
+
     fn answered(&mut self, at: Micros, ticket: u64, outcome: Outcome, genuine: bool) {
         let history = self.tickets.entry(ticket).or_default();
         if history.answered.replace(at).is_some() {
@@ -304,7 +333,11 @@
     fn sent(&mut self, at: Micros, ticket: u64, place: Place, began: Micros, work: f64) {
         let slack = self.rules.slack.0;
         let history = self.tickets.entry(ticket).or_default();
-        let (taken, answered) = (history.taken, history.answered);
+        let (taken, answered, left) = (history.taken, history.answered, history.left);
+        if let Some(left) = left.filter(|left| began > *left + LEFT_SLACK + slack) {
+            let what = format!("sent {} us after its client left", began - left);
+            self.break_of(1, at, Some(ticket), what);
+        }
         if let Some(answered) = answered.filter(|answered| began > *answered + slack) {
             let what = format!("sent {} us after its final answer", began - answered);
             self.break_of(1, at, Some(ticket), what);
@@ -386,7 +419,8 @@
 
 impl History {
     fn is_owed(&self, now: Micros, rules: &Rules) -> bool {
-        let over = self.taken.is_some_and(|(_, _, hard_stop)| self.lost || now > hard_stop + rules.slack.0);
+        let over =
+            self.taken.is_some_and(|(_, _, hard_stop)| self.lost || now > hard_stop + rules.answer_late());
         over && self.answered.is_none() && !self.excused
     }
 }
--- a/model/src/judge/tests.rs
+++ b/model/src/judge/tests.rs
@@ -22,6 +22,10 @@
     Seen::Answered { ticket: 1, outcome, genuine: true }
 }
 const NOT_RUN: Seen = Seen::NotRun { ticket: 1, server: 0 };
+const LEFT: Seen = Seen::Left { ticket: 1 };
+fn told_time(began: Micros, told: Micros) -> Seen {
+    Seen::ToldTime { ticket: 1, began, told }
+}
 const DRAINS: Seen = Seen::Told { balancer: 0, server: 0, drains: true };
 const SERVES: Seen = Seen::Told { balancer: 0, server: 0, drains: false };
 const FORGED: Seen = Seen::Answered { ticket: 1, outcome: Outcome::Succeeded, genuine: false };
@@ -35,6 +39,13 @@
 #[case::client_left(&[(0, taken(0)), (9, Seen::Left { ticket: 1 })], &[])]
 #[case::balancer_killed(&[(0, taken(0)), (9, Seen::Killed { balancer: 0 })], &[])]
 #[case::other_killed(&[(0, taken(0)), (9, Seen::Killed { balancer: 1 })], &[1])]
+#[case::begun_as_its_client_left(&[(0, taken(0)), (50_000, LEFT), (210_000, sent(0, 200_000))], &[])]
+#[case::begun_after_its_client_left(&[(0, taken(0)), (50_000, LEFT), (210_000, sent(0, 200_001))], &[1])]
+#[case::begun_long_after_that(&[(0, taken(0)), (50_000, LEFT), (800_000, sent(0, 800_000))], &[1])]
+#[case::tells_what_is_left(&[(0, taken(0)), (9, told_time(400_000, 600_000)), (20, answered(Succeeded))], &[])]
+#[case::tells_a_little_more(&[(0, taken(0)), (9, told_time(400_000, 800_000)), (20, answered(Succeeded))], &[])]
+#[case::tells_too_much(&[(0, taken(0)), (9, told_time(400_000, 800_001)), (20, answered(Succeeded))], &[1])]
+#[case::tells_too_much_noted_first(&[(5, told_time(400_000, 900_000)), (6, taken(0)), (20, answered(Succeeded))], &[1])]
 #[case::within_slack(&[(0, taken(0)), (1_050_000, answered(Succeeded))], &[])]
 #[case::late(&[(0, taken(0)), (1_050_001, answered(Succeeded))], &[1])]
 #[case::late_noted_first(&[(1_050_001, answered(Abandoned)), (0, taken(0))], &[1])]
@@ -109,3 +120,15 @@
         prop_assert_eq!(ledger.breaks().iter().map(|broken| broken.ticket).collect::<Vec<_>>(), [Some(owed)]);
     }
 }
+
+/// Up to so late an answer earns nothing; later it is lost.
+#[rstest]
+#[case::late(SECOND + 400_000, 0)]
+#[case::lost(SECOND + 600_000, 1)]
+fn a_late_answer_is_lost_only_beyond_what_the_day_says(#[case] at: Micros, #[case] broken: usize) {
+    let day = check::read("name = 'd'\nlength = '20s'\n[rules]\nlate = '500ms'", "d.toml").unwrap();
+    let mut ledger = Ledger::new(&day);
+    ledger.note(0, taken(0));
+    ledger.note(at, answered(Abandoned));
+    assert_eq!(ledger.breaks().len(), broken);
+}
