Nothing is sent by the list of the configuration before discovery was asked; pushed lists at once

Change: the list that a process is started with is held until discovery's first answer, as the ground of what changed since, or until the first call failed. Up to seven balancers ask at once, larger fleets scattered over 0.1 s for each further one, 2.5 s at most; where lists are pushed all ask at once.

--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -128,14 +128,12 @@
         turn: Turn::default(),
     }));
     let balancer = Balancer::start(Hands(Rc::clone(&desk)), seed, terms, now);
-    let mut node = Node { balancer, desk, over: false };
+    let node = Node { balancer, desk, over: false };
     if let Some(known) = optional(told, "known", Some)? {
+        let mut desk = node.desk.borrow_mut();
         // An old list that cannot be read is no reason not to serve: discovery has a new one.
-        match node.take_list(known) {
-            Ok(()) => node.desk.borrow_mut().roster.only_known(),
-            Err(problem) => {
-                warn!(node.desk.borrow().log, "known list not understood"; "problem" => problem);
-            }
+        if let Err(problem) = desk.roster.hold_known(known) {
+            warn!(desk.log, "known list not understood"; "problem" => problem);
         }
     }
     node.desk.borrow_mut().begin_following();
--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -36,7 +36,9 @@
     outbox: Outbox,
     pub following: Following,
     due: Option<Place>,
-    /// Whether there is the list that we were started with, and one of discovery's own.
+    /// The list that we were started with, until it is taken.
+    held: Option<Value>,
+    /// Whether that list was taken, and one of discovery's own.
     known: bool,
     taken: bool,
     /// When discovery last told a list, or that there is nothing new.
@@ -53,6 +55,7 @@
             outbox: Outbox::default(),
             following: Following::new(seed),
             due: None,
+            held: None,
             known: false,
             taken: false,
             listed_at: 0,
@@ -60,10 +63,13 @@
         }
     }
 
-    /// What was taken is the list that we were started with.
-    pub fn only_known(&mut self) {
+    /// The list that we were started with. It may be old, so nothing is sent by it until discovery has told what changed
+    /// since, or could not be asked.
+    pub fn hold_known(&mut self, list: &Value) -> Decoded<()> {
+        self.following.listed(whole(list, "rev")?, true, true);
         self.following.only_known();
-        self.known = true;
+        self.held = Some(list.clone());
+        Ok(())
     }
 
     /// Whether there is a list to serve by: discovery's own, or the one we were started with where discovery
@@ -169,8 +175,30 @@
         }
     }
 
+    /// Takes the list that we were started with, as the ground for what changed since or where there is no other.
+    fn take_known(&mut self) {
+        let Some(held) = self.desk.borrow_mut().roster.held.take() else { return };
+        let taken = self.take_entries(&held);
+        let mut desk = self.desk.borrow_mut();
+        match taken {
+            Ok(_) => desk.roster.known = true,
+            Err(problem) => warn!(desk.log, "known list not understood"; "problem" => problem),
+        }
+    }
+
     /// Takes a whole list or what changed, as discovery words it.
     pub fn take_list(&mut self, told: &Value) -> Decoded<()> {
+        self.take_known();
+        let (version, complete, news) = self.take_entries(told)?;
+        let mut desk = self.desk.borrow_mut();
+        desk.roster.following.listed(version, complete, news);
+        desk.counters.lists_taken += 1;
+        info!(desk.log, "list taken"; "version" => version, "whole" => complete, "news" => news);
+        Ok(())
+    }
+
+    /// Takes down what a list names. Its version, whether it is whole, and whether it names anything.
+    fn take_entries(&mut self, told: &Value) -> Decoded<(u64, bool, bool)> {
         let version = whole(told, "rev")?;
         let (now, log) = {
             let desk = self.desk.borrow();
@@ -197,10 +225,7 @@
         let mut desk = self.desk.borrow_mut();
         desk.drop_left();
         desk.roster.listed_at = now;
-        desk.roster.following.listed(version, complete, !entries.is_empty());
-        desk.counters.lists_taken += 1;
-        info!(log, "list taken"; "version" => version, "whole" => complete, "entries" => entries.len());
-        Ok(())
+        Ok((version, complete, !entries.is_empty()))
     }
 
     fn take_entry(&mut self, now: Micros, entry: &Value, starts: StartTimes) -> Decoded<()> {
@@ -236,6 +261,7 @@
 
     /// A call for the list failed: the list that we have stands.
     fn call_failed(&mut self, reason: &'static str) {
+        self.take_known();
         let mut desk = self.desk.borrow_mut();
         desk.counters.lists_failed += 1;
         desk.end_discovery(reason);
@@ -288,7 +314,7 @@
     /// The first call for the list, once the process stands.
     pub fn begin_following(&mut self) {
         let now = self.clock.now();
-        self.roster.following.begin(now, self.place.balancers);
+        self.roster.following.begin(now, self.place.ask_within, self.place.balancers);
         self.hang_discovery();
     }
 
--- a/node/src/wire/discovery/tests.rs
+++ b/node/src/wire/discovery/tests.rs
@@ -2,7 +2,7 @@
 use serde_json::json;
 
 use super::*;
-use crate::stand::{Stand, answer, entry, listener, say};
+use crate::stand::{Stand, answer, entry, listener, message, say};
 
 /// The first call for the list, taken by discovery.
 fn call(stand: &mut Stand) -> std::net::TcpStream {
@@ -124,7 +124,7 @@
 fn the_known_list_serves_only_where_discovery_could_not_be_asked() {
     let mut roster = Roster::new(1);
     assert!(!roster.stands(), "without any list");
-    roster.only_known();
+    roster.known = true;
     assert!(!roster.stands(), "while discovery is asked");
     roster.following.failed(1_000, None);
     assert!(roster.stands(), "discovery could not be asked");
@@ -200,3 +200,33 @@
     stand.until(|node| node.desk.borrow().roster.taken.then_some(()));
     assert_eq!(status(&mut stand), "HTTP/1.1 200");
 }
+
+/// Whoever asks before discovery has told what changed is not served by the old list; where discovery can't be asked, it
+/// is all there is.
+#[rstest]
+#[case::told(true)]
+#[case::not_to_be_asked(false)]
+fn nothing_is_sent_by_an_old_list_before_discovery_was_asked(#[case] told: bool) {
+    let upstream = listener();
+    let address = upstream.local_addr().unwrap();
+    let mut stand = Stand::with(|told| {
+        let entries = ["s1", "s2", "s3", "s4", "s5", "s6"].map(|id| entry(id, address, "active"));
+        told["known"] = json!({"rev": 7, "all": true, "targets": entries});
+    });
+    let ask = |stand: &mut Stand, id| {
+        let (asks, _) = stand.client();
+        say(&asks, &message(id, "body"));
+        asks
+    };
+    let early = ask(&mut stand, "t1");
+    assert!(stand.heard(&early, "\r\n\r\n").starts_with("HTTP/1.1 503 "));
+    let call = call(&mut stand);
+    if told {
+        say(&call, &answer(&json!({"rev": 8, "all": false, "targets": []})));
+    }
+    drop(call);
+    stand.until(|node| node.desk.borrow().roster.stands().then_some(()));
+    let _served = ask(&mut stand, "t2");
+    let link = stand.accepted(&upstream);
+    stand.heard(&link, "body");
+}
--- a/node/src/wire/following.rs
+++ b/node/src/wire/following.rs
@@ -37,8 +37,10 @@
 /// The longest where lists are pushed: what discovery has counts as told at once when it is back.
 const RETRY_PUSHED: Micros = 200_000;
 
-/// First calls of a fleet that is started at one moment come no closer together than this in the mean: discovery works
-/// through calls in turn. None comes later than the longest, as the list that a process is started with may be old.
+/// First calls of a fleet that is started at one moment: so many may come at once, as discovery works through them within
+/// two seconds; those of larger fleets come no closer together than this in the mean, and none later than the longest,
+/// as nobody is served before.
+const FIRST_AT_ONCE: usize = 7;
 const FIRST_APART: Micros = 100_000;
 const FIRST_MOST: Micros = 2_500_000;
 
@@ -195,9 +197,11 @@
     }
 
     /// The first call of a process. What it was started with may be old, so it asks soon; those that are started at one
-    /// moment ask scattered, as discovery works through calls in turn.
-    pub fn begin(&mut self, now: Micros, balancers: usize) {
-        let scatter = (balancers as u64 * FIRST_APART).min(FIRST_MOST);
+    /// moment ask scattered, as discovery works through calls in turn. Where lists are pushed, what discovery has counts
+    /// as told from the first moment.
+    pub fn begin(&mut self, now: Micros, within: Option<Micros>, balancers: usize) {
+        let most = if within.is_some() { FIRST_MOST } else { 0 };
+        let scatter = (balancers.saturating_sub(FIRST_AT_ONCE) as u64 * FIRST_APART).min(most);
         self.next = Some(now + self.chance.generate_range(0..=scatter));
     }
 
--- a/node/src/wire/following/tests.rs
+++ b/node/src/wire/following/tests.rs
@@ -288,7 +288,7 @@
     let mut fleet: Vec<World> =
         (0..BALANCERS).map(|n| World::new(seed * 1000 + n as u64, BALANCERS)).collect();
     for world in &mut fleet {
-        world.following.begin(0, BALANCERS);
+        world.following.begin(0, Some(WITHIN), BALANCERS);
     }
     let changes = [1_770, 4_430, 12_390, 13_280, 14_160, 15_050].map(|at| at * MS);
     let (mut free, mut away) = (0, 0);
