--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -59,7 +59,10 @@
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Found {
     pub played: Vec<Played>,
+    /// Days that broke something, on a machine that kept up.
     pub failed: usize,
+    /// Days that broke something on a machine that was late: the lab itself may have been late to see it.
+    pub doubtful: usize,
     pub invalid: usize,
     pub pairs: Vec<Pair>,
     /// Seeds that the lab itself could not play, and why.
@@ -155,7 +158,8 @@
     });
     let mut found = found.into_inner().unwrap_or_default();
     found.played.sort_by_key(|played| played.seed);
-    found.failed = found.played.iter().filter(|played| !played.is_sound()).count();
+    let broke = |valid: bool| found.played.iter().filter(|one| !one.is_sound() && one.valid == valid).count();
+    (found.failed, found.doubtful) = (broke(true), broke(false));
     found.invalid = found.played.iter().filter(|played| !played.valid).count();
     found.pairs = coverage::pairs(&locked(&days));
     found
