What can't be sent again is given up at once; accepting ends where nothing can be had; EAGAIN

Cause, by reading: (1) a keyed request that may have run was held on behind its window, though no upstream may have it, and had its answer only when its time ran out. (2) `while self.accept() {}` at a stop went round for ever where each accept fails for the one connection (a firewall's EPERM): the loop was blocked. (3) EAGAIN of connect(2), which for TCP says that nothing was begun, was taken for a connection under way, and ended as the upstream's fault.

Change: `may_go_on` says whether a request may be sent to anybody at all, asked by `permitted`, after each attempt and of what is held. `accept` tells that more may be had only where it had some. Only EINPROGRESS goes on.

--- a/node/src/wire/accepting.rs
+++ b/node/src/wire/accepting.rs
@@ -60,9 +60,9 @@
 }
 
 impl Node {
-    /// Takes in what the listener has; true where more may be waiting.
+    /// Takes in what the listener has; true where more may be waiting and can be had.
     pub fn accept(&mut self) -> bool {
-        let mut made_room = false;
+        let (mut made_room, mut accepted) = (false, false);
         for _ in 0..ACCEPT_AT_ONCE {
             let mut desk = self.desk.borrow_mut();
             let Some(listener) = desk.listener.as_ref().map(|(listener, _)| Rc::clone(listener)) else {
@@ -81,6 +81,7 @@
             let problem = match listener.accept() {
                 Ok((stream, peer)) => {
                     desk.welcome(stream, peer);
+                    accepted = true;
                     continue;
                 }
                 Err(problem) => problem,
@@ -101,7 +102,7 @@
                 }
             }
         }
-        true
+        accepted
     }
 }
 
--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use pinefront::{Ending, Micros};
+use rustix::io::Errno;
 use slog::{info, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 
@@ -348,10 +349,9 @@
     let socket = Socket::new(Domain::for_address(address), Type::STREAM.nonblocking(), Some(Protocol::TCP))?;
     socket.set_tcp_nodelay(true)?;
     match socket.connect(&address.into()) {
-        // EINPROGRESS is no kind of its own; what went wrong otherwise shows itself on the socket.
+        // What goes wrong from here on shows itself on the socket. Anything else, EAGAIN too, has begun nothing.
         Ok(()) => {}
-        Err(problem) if problem.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error()) => {}
-        Err(problem) if problem.kind() == ErrorKind::WouldBlock => {}
+        Err(problem) if Errno::from_io_error(&problem) == Some(Errno::INPROGRESS) => {}
         Err(problem) => return Err(problem),
     }
     Ok(socket.into())
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -369,29 +369,39 @@
         let (upstream, (_, spent, budget)) = (&self.upstreams[u], self.cold_budget(now, u));
         // Two that went down under a ticket may do so by it: no third, unless one of them has answered since.
         let down = |d: &&Dispatch| d.broke.is_some_and(|at| self.upstreams[d.upstream].answered <= at);
-        let open = now < ticket.hard_stop
-            && upstream.ready
+        let open = upstream.ready
             // What a request may go over is no allowance of its own: many balancers without one would add up.
             && budget >= 1.0
             && spent + ticket.work <= budget + COLD.1
-            && !(ticket.streaming || ticket.dispatches.iter().filter(down).count() > 1)
-            && ticket.dispatches.len() < self.terms.most_dispatches.min(ticket.most_dispatches)
-            && ticket.dispatches.iter().all(|d| !d.out);
+            && ticket.dispatches.iter().filter(down).count() <= 1;
         let mut ran = ticket.dispatches.iter().filter(|d| d.may_have_run);
-        let again = match self.terms.use_cases[ticket.use_case].effect {
-            Effect::Redoable => true,
-            Effect::Irreversible => ran.next().is_none(),
-            Effect::Labelled { group, window } => ran.all(|d| {
+        let in_group = match self.terms.use_cases[ticket.use_case].effect {
+            Effect::Redoable | Effect::Irreversible => true,
+            Effect::Labelled { group, .. } => ran.all(|d| {
                 let first = &self.upstreams[d.upstream];
-                let same = match group {
+                match group {
                     Group::All => true,
                     Group::Zone => first.zone == upstream.zone,
                     Group::Cell => first.cell == upstream.cell,
-                };
-                same && now < begin_before(d.sent, window)
+                }
             }),
         };
-        open && again
+        open && in_group && self.may_go_on(now, ticket)
+    }
+
+    /// Whether a ticket may be sent to any upstream at all, now or later: what may not is given up at once.
+    fn may_go_on(&self, now: Micros, ticket: &Ticket) -> bool {
+        let mut ran = ticket.dispatches.iter().filter(|d| d.may_have_run);
+        let again = match self.terms.use_cases[ticket.use_case].effect {
+            Effect::Redoable => true,
+            Effect::Irreversible => ran.next().is_none(),
+            Effect::Labelled { window, .. } => ran.all(|d| now < begin_before(d.sent, window)),
+        };
+        again
+            && now < ticket.hard_stop
+            && !ticket.streaming
+            && ticket.dispatches.len() < self.terms.most_dispatches.min(ticket.most_dispatches)
+            && ticket.dispatches.iter().all(|d| !d.out)
     }
 
     pub fn dispatch_ended(&mut self, now: Micros, id: &str, n: usize, last: bool, how: Ending, took: Micros) {
@@ -404,9 +414,7 @@
         } else if ticket.dispatches.iter().any(|d| d.out) {
             self.tickets.insert(Rc::clone(&ticket.id), ticket);
         } else {
-            let unseen = ticket.dispatches.iter().all(|d| !d.may_have_run);
-            let repeats = self.terms.use_cases[ticket.use_case].effect.repeats();
-            match (unseen || repeats) && ticket.dispatches.len() < self.terms.most_dispatches {
+            match self.may_go_on(now, &ticket) {
                 true => self.admit(now, ticket),
                 false => self.give_up(now, ticket),
             }
@@ -596,7 +604,7 @@
     /// Sends held tickets while there is room, the most pressing first, and dismisses what is too late.
     pub(crate) fn pump(&mut self, now: Micros) {
         for mut ticket in std::mem::take(&mut self.held) {
-            if self.last_start(&ticket) < now {
+            if self.last_start(&ticket) < now || !self.may_go_on(now, &ticket) {
                 self.give_up(now, ticket);
             } else if self.pool_has_room(now) && self.place(now, &mut ticket) {
                 self.tickets.insert(Rc::clone(&ticket.id), ticket);
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -220,6 +220,24 @@
     assert!(diary.count("dispatch") <= 2);
 }
 
+/// Behind its window a labelled ticket that may have run can't be sent to anybody: holding it would only keep its answer
+/// back.
+#[rstest]
+#[case::in_its_window(1_000, 0)]
+#[case::within_the_margin(1_900, 1)]
+#[case::behind_it(2_100, 1)]
+fn what_can_not_be_sent_again_is_given_up_at_once(#[case] after: u64, #[case] given_up: usize) {
+    let (mut balancer, diary) = balancer(CELL, 8);
+    let mut sent = ticket(&[0], true);
+    sent.hard_stop = START_AT + 60_000 * MS;
+    sent.promised = sent.hard_stop;
+    sent.dispatches[0].out = true;
+    balancer.tickets.insert(Rc::clone(&sent.id), sent);
+    let now = START_AT + after * MS;
+    balancer.dispatch_ended(now, "t", 0, false, Ending::Broken, after * MS);
+    assert_eq!(diary.count("abandon"), given_up);
+}
+
 /// What a request may go over a budget is no budget: hundreds of balancers without one, each with a small request, would
 /// add up.
 #[rstest]
