--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -8,6 +8,8 @@
 use crate::arithmetic::slope;
 use crate::{UseCase, Warming};
 
+mod slow_start;
+
 pub(crate) const MS: Micros = 1_000;
 pub(crate) const START_AT: Micros = 1_000_000_000;
 
