The first watch of a process waits a random tenth to six tenths of its time

Its log: all 300 balancers asked within 2 s of the start, had watches of 20 s open from 1 to 2 s on, these fell silent before 6.35 s, and no list was taken from 2 s to 20 s, while 60 % of the upstreams were replaced from 5 to 14 s (32,057 attempts refused).

Change: `FIRST_SCATTERED`. Later watches wait as before.

--- a/node/src/wire/following.rs
+++ b/node/src/wire/following.rs
@@ -18,6 +18,9 @@
 /// Least part of it that the first watch after news waits. All that were told at one moment would ask at one
 /// moment again if their watches fell silent, and discovery works through calls in turn.
 const SCATTERED: f64 = 0.5;
+/// Least and greatest part that the first watch of a process waits. A fleet that is started at one moment has all its
+/// watches open by the next; if they fell silent together, all of it would hear nothing for as long as a watch waits.
+const FIRST_SCATTERED: (f64, f64) = (0.1, 0.6);
 /// How long beyond its wait the answer to a watch may be under way. Discovery answers it by the clock, not in turn,
 /// and what it has to tell by then counts as told 2 s after the wait: the next call takes its turn within the rest.
 const LATE: Micros = 250_000;
@@ -93,6 +96,8 @@
     failures: u32,
     /// What came last told something: others were told at the same moment.
     news: bool,
+    /// A watch was out already.
+    watched: bool,
     chance: WyRand,
 }
 
@@ -109,6 +114,7 @@
             next: None,
             failures: 0,
             news: true,
+            watched: false,
             chance: WyRand::new_seed(!seed),
         }
     }
@@ -151,11 +157,17 @@
     pub fn ask(
         &mut self, now: Micros, connected: bool, within: Option<Micros>, balancers: usize,
     ) -> Option<(u64, Micros)> {
-        let part = SCATTERED + (1.0 - SCATTERED) * self.chance.generate::<f64>();
-        let wait = watch_wait(within, balancers) as f64 * if self.news { part } else { 1.0 };
+        let (least, most) = match (self.watched, self.news) {
+            (false, _) => FIRST_SCATTERED,
+            (true, true) => (SCATTERED, 1.0),
+            (true, false) => (1.0, 1.0),
+        };
+        let part = least + (most - least) * self.chance.generate::<f64>();
+        let wait = watch_wait(within, balancers) as f64 * part;
         let wait = if connected { wait as Micros } else { FIRST_WAIT };
         let version = self.version.or(self.known);
         self.watches = connected && version.is_some();
+        self.watched |= self.watches;
         let within = if self.slow { SLOW_TURN_WITHIN } else { TURN_WITHIN };
         self.overdue = now + if self.watches { wait + LATE } else { within };
         self.call = if connected { Call::Out } else { Call::Connecting };
--- a/node/src/wire/following/tests.rs
+++ b/node/src/wire/following/tests.rs
@@ -391,3 +391,25 @@
     following.answered(now);
     assert!(!following.slow);
 }
+
+/// Join+mass of settat-main: 300 balancers had all their watches of 20 s open within 2.5 s of the start; these fell silent
+/// together, and nobody heard of the release before 20 s.
+#[test]
+fn the_watches_of_a_fleet_that_is_started_at_one_moment_run_out_apart() {
+    let mut waits: Vec<Vec<Micros>> = vec![Vec::new(); 3];
+    for seed in 0..300 {
+        let mut following = Following::new(seed);
+        following.listed(1, true, true);
+        for (turn, news) in [true, true, false].into_iter().enumerate() {
+            following.answered(0);
+            let (_, wait) = following.ask(0, true, Some(WITHIN), 300).unwrap();
+            waits[turn].push(wait);
+            following.listed(1, false, news && turn == 0);
+        }
+    }
+    let ends = |turn: usize| (*waits[turn].iter().min().unwrap(), *waits[turn].iter().max().unwrap());
+    let (first, second, third) = (ends(0), ends(1), ends(2));
+    assert!(first.0 < 3 * SECOND && first.1 > 11 * SECOND && first.1 <= 12 * SECOND, "{first:?}");
+    assert!(second.0 >= 10 * SECOND && second.0 < 11 * SECOND && second.1 > 19 * SECOND, "{second:?}");
+    assert_eq!(third, (WATCH_MOST, WATCH_MOST));
+}
