--- a/node/src/wire/upstreams.rs
+++ b/node/src/wire/upstreams.rs
@@ -29,7 +29,7 @@
 
 /// How long a connection rests after an answer: what else its upstream sends behind it, or its close, is seen
 /// before another ticket is written to it and takes that for its answer.
-const REST: Micros = 5_000;
+const REST: Micros = 8_000;
 
 /// How long the connections of an upstream that said something unasked carry one request each.
 const UNASKED_FOR: Micros = 10_000_000;
