--- a/lab/src/balancers.rs
+++ b/lab/src/balancers.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 
 use crate::fleet::duties::DutyLines;
+use crate::fleet::own_address;
 use crate::http;
 use crate::system::{self, System};
 use crate::world::locked;
@@ -108,7 +109,7 @@
         operator: Option<PathBuf>,
     ) -> io::Result<Self> {
         // Nobody else takes the port meanwhile unless the machine is short of them; then the start says so.
-        let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let listen = TcpListener::bind((own_address(), 0))?.local_addr()?;
         let told = json!({
             "name": format!("b{number}"), "listen": listen.to_string(), "discovery": discovery[0].to_string(),
             "seed": format!("{:016x}", Chance::split(seed, "balancer", number as u64).whole()),
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -74,12 +74,16 @@
 /// The first so many are in every file.
 const SEEDS: usize = 3;
 
+/// An address of this process's own: between being let go here and taken by a balancer a port of 127.0.0.1 may go to
+/// anybody who asks for any.
+pub fn own_address() -> std::net::Ipv4Addr {
+    let id = std::process::id();
+    std::net::Ipv4Addr::new(127, 1 + (id / 250 % 250) as u8, 1 + (id % 250) as u8, 1)
+}
+
 impl Addresses {
     pub fn new(balancers: usize) -> std::io::Result<Self> {
-        // On an address of this process's own: between being let go here and taken by a balancer a port of 127.0.0.1
-        // may go to anybody who asks for any.
-        let id = std::process::id();
-        let own = std::net::Ipv4Addr::new(127, 1 + (id / 250 % 250) as u8, 1 + (id % 250) as u8, 1);
+        let own = own_address();
         let free = || UdpSocket::bind((own, 0)).and_then(|socket| Ok((socket.local_addr()?, socket)));
         // Held together, so that none is given twice; let go for the balancers to take.
         let held: Vec<_> = (0..balancers).map(|_| free()).collect::<Result<_, _>>()?;
