Reading again: the start tries again in one way, also for its configuration

Cause: `run` had a second loop of tries for the configuration beside `patiently`, alike but for what passes. Change: `patiently` is told which failures pass; its test keeps its cases and assertions. An import order in hands.rs. No behaviour changed. Measured: 354 tests of the node pass, format and lints clean.

--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -20,7 +20,7 @@
 use crate::fleet::carrier::Fleet;
 use crate::fleet::operator::{self, FleetTerms};
 use crate::life::log::Pipe;
-use crate::life::place::{Place, read, variables};
+use crate::life::place::{Place, Unread, read, variables};
 use crate::life::serve::{Hands, Node, serve};
 use crate::memory::clock::{Clock, Turn};
 use crate::memory::counters::Counters;
@@ -59,10 +59,10 @@
 }
 
 /// Tries again what fails for a moment only: a start that gives up at once is a crash to whoever started it.
-fn patiently<T, E: Into<std::io::Error>>(mut attempt: impl FnMut() -> Result<T, E>) -> std::io::Result<T> {
+fn patiently<T, E>(passes: impl Fn(&E) -> bool, mut attempt: impl FnMut() -> Result<T, E>) -> Result<T, E> {
     let mut tries = TRIES;
     loop {
-        match attempt().map_err(Into::into) {
+        match attempt() {
             Err(problem) if passes(&problem) && tries > 0 => {
                 tries -= 1;
                 std::thread::sleep(TRIES_APART);
@@ -86,7 +86,7 @@
     handle: LoopHandle<'static, Node>, pipe: &Pipe, told: &Value, place: Place, terms: Terms,
 ) -> Decoded<Node> {
     let log = pipe.logger(slog::Level::Info);
-    let listener = patiently(|| listen(place.listen))
+    let listener = patiently(passes, || listen(place.listen))
         .map_err(|problem| format!("cannot listen on {}: {problem}", place.listen))?;
     let listener = Rc::new(listener);
     let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
@@ -148,22 +148,13 @@
 
 /// Runs the balancer until it is told to stop.
 pub fn run(path: Option<&str>, operator: Option<&str>) -> Decoded<()> {
-    let mut event_loop: EventLoop<Node> =
-        patiently(EventLoop::try_new).map_err(|problem| format!("cannot make the event loop: {problem}"))?;
+    let mut event_loop: EventLoop<Node> = patiently(passes, || EventLoop::try_new().map_err(Into::into))
+        .map_err(|problem| format!("cannot make the event loop: {problem}"))?;
     // First of all: a signal that comes during the start waits, and does not end the process.
     let watched = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP];
-    let signals =
-        patiently(|| Signals::new(&watched)).map_err(|problem| format!("cannot watch signals: {problem}"))?;
-    let mut tries = TRIES;
-    let (told, place, terms) = loop {
-        match read(path, &variables()) {
-            Err(unread) if unread.passes && tries > 0 => {
-                tries -= 1;
-                std::thread::sleep(TRIES_APART);
-            }
-            done => break done?,
-        }
-    };
+    let signals = patiently(passes, || Signals::new(&watched).map_err(Into::into))
+        .map_err(|problem| format!("cannot watch signals: {problem}"))?;
+    let (told, place, terms) = patiently(|unread: &Unread| unread.passes, || read(path, &variables()))?;
     let fleet_terms = operator.map(|file| fleet_terms(file, &place, &terms)).transpose()?;
     let handle = event_loop.handle();
     let (file, operator) = (path.map(str::to_owned), operator.map(str::to_owned));
--- a/node/src/wire/hands.rs
+++ b/node/src/wire/hands.rs
@@ -3,7 +3,6 @@
 
 use bytes::Bytes;
 use pinefront::{Ending, Host, Micros};
-
 use slog::info;
 
 use crate::life::reasons;
