Three tests that fail: cut answers, answers unread at a replaced call, a full queue at discovery

The virtual-clock world now fails a call in the program's own order (the connection ends first, then the failure is noted): the test that drove Following alone could not see that a call that was given up is never taken for a slow one.

--- a/node/src/stand.rs
+++ b/node/src/stand.rs
@@ -130,6 +130,12 @@
         stream
     }
 
+    /// The next connection to discovery.
+    pub fn accepted_discovery(&mut self) -> TcpStream {
+        let discovery = self.discovery.try_clone().unwrap();
+        self.accepted(&discovery)
+    }
+
     /// What comes until it ends so.
     pub fn heard(&mut self, mut stream: &TcpStream, end: &str) -> String {
         let mut heard = Vec::new();
--- a/node/src/wire/discovery/tests.rs
+++ b/node/src/wire/discovery/tests.rs
@@ -230,3 +230,41 @@
     let link = stand.accepted(&upstream);
     stand.heard(&link, "body");
 }
+
+/// Incident "lost list changes": discovery wrote that a server drains, and the connection ended before the answer was
+/// whole. What was written counts as told, so the entries that came whole hold.
+#[test]
+fn a_drain_in_an_answer_that_is_cut_short_holds() {
+    let mut stand = Stand::new();
+    let watch = watch_of(&mut stand, &["s1", "s2"]);
+    let gone = listener().local_addr().unwrap();
+    let whole = answer(&json!({"rev": 42, "all": false,
+        "targets": [entry("s1", gone, "leaving"), entry("s2", gone, "leaving")]}));
+    let second = whole.find("s2").unwrap();
+    say(&watch, &whole[..second - 10]);
+    drop(watch);
+    stand.until(|node| (!node.desk.borrow().by_name.contains_key("s1")).then_some(()));
+}
+
+/// The same incident: an answer that lies in the socket when its call is replaced was written, and counts as told.
+#[test]
+fn an_answer_that_is_here_when_its_call_is_replaced_is_taken() {
+    let mut stand = Stand::new();
+    let watch = watch_of(&mut stand, &["s1"]);
+    let gone = listener().local_addr().unwrap();
+    say(&watch, &answer(&json!({"rev": 42, "all": false, "targets": [entry("s1", gone, "leaving")]})));
+    stand.node.desk.borrow_mut().roster.following.made_before(60_000_000);
+    stand.node.discovery_due();
+    let _silent = stand.accepted_discovery();
+    stand.until(|node| (!node.desk.borrow().by_name.contains_key("s1")).then_some(()));
+}
+
+/// A watch of discovery on servers that it named.
+fn watch_of(stand: &mut Stand, servers: &[&str]) -> std::net::TcpStream {
+    let first = call(stand);
+    let address = listener().local_addr().unwrap();
+    let entries: Vec<Value> = servers.iter().map(|id| entry(id, address, "active")).collect();
+    say(&first, &answer(&json!({"rev": 41, "all": true, "targets": entries})));
+    assert!(stand.heard(&first, "\r\n\r\n").contains("since=41&"));
+    first
+}
--- a/node/src/wire/following/tests.rs
+++ b/node/src/wire/following/tests.rs
@@ -141,8 +141,10 @@
         }
     }
 
+    /// As `Node::call_failed` does it: the connection ends first.
     fn fail(&mut self) {
         (self.out, self.connected) = (None, false);
+        self.following.dropped();
         self.following.failed(self.now, Some(WITHIN));
     }
 
@@ -275,6 +277,50 @@
     assert!(world.calls <= most + 4, "{}", world.calls);
 }
 
+/// Incident "lost list changes": discovery keeps a call for up to three seconds before it answers, and balancers gave each
+/// up after 2.5 s. Its turn was spent on a caller that had gone, the queue stayed full, and nobody new was ever answered.
+#[test]
+fn a_fleet_that_fills_the_queue_of_discovery_is_served_in_the_end() {
+    for seed in 21..24 {
+        assert_eq!(deaf_behind_a_full_queue(seed), 0, "seed {seed}: balancers that heard no list");
+    }
+}
+
+/// How many of 32 balancers have heard no list of a discovery of 4.5 calls a second within 12 s.
+fn deaf_behind_a_full_queue(seed: u64) -> usize {
+    const BALANCERS: usize = 32;
+    const WORK: Micros = 220 * MS;
+    const QUEUE: Micros = 3 * SECOND;
+    const ALL_HEAR_BY: Micros = 12 * SECOND;
+    let mut fleet: Vec<World> =
+        (0..BALANCERS).map(|n| World::new(seed * 1000 + n as u64, BALANCERS)).collect();
+    for world in &mut fleet {
+        world.version = 1;
+        world.following.begin(0, Some(WITHIN), BALANCERS);
+    }
+    // What stands in the queue is worked through, whether its caller is still there or not.
+    let mut free = QUEUE;
+    let mut now = 0;
+    while now < ALL_HEAR_BY {
+        for world in &mut fleet {
+            world.now = now;
+            let arrives = world.out.as_ref().is_some_and(|out| out.turn.is_none() && now >= out.sent + TICK);
+            let goes_on = world.goes_on();
+            if arrives && !goes_on && free > now + QUEUE {
+                world.fail();
+            } else if arrives {
+                free = if goes_on { free } else { free.max(now) + WORK };
+                world.taken(if goes_on { now } else { free });
+            } else {
+                world.call();
+            }
+            world.step();
+        }
+        now += TICK;
+    }
+    fleet.iter().filter(|world| world.here != Some(1)).count()
+}
+
 /// Brink, throng, settat-main seed 3: 32 balancers before a discovery of three and a half calls a second, which turns
 /// away whom it would keep for over two seconds. With watches of 7.5 s and the whole list first, balancers were turned
 /// away for 13 s, and 23 requests went to an upstream that had gone.
