The log tells a failed call for the list, how long it waited, and each server that drains

Missing in the incident's logs: whether bytes of an answer were there when its call failed, how long the call had waited, and when a server counted as draining.

--- a/node/src/wire/discovery.rs
+++ b/node/src/wire/discovery.rs
@@ -264,6 +264,8 @@
         self.take_known();
         let mut desk = self.desk.borrow_mut();
         desk.counters.lists_failed += 1;
+        info!(desk.log, "list call failed"; "reason" => reason, "unread_bytes" => desk.roster.inbox.kept().len(),
+            "waited_ms" => desk.now().saturating_sub(desk.roster.following.asked()) / 1000);
         desk.end_discovery(reason);
         let (now, within) = (desk.now(), desk.place.ask_within);
         desk.roster.following.failed(now, within);
@@ -438,8 +440,11 @@
 
     fn drains(&mut self, id: &str, now: Micros) {
         let slot = self.upstream(id);
-        if let Some(upstream) = self.upstreams.get_mut(slot) {
-            upstream.drains.get_or_insert(now);
+        if let Some(upstream) = self.upstreams.get_mut(slot)
+            && upstream.drains.is_none()
+        {
+            upstream.drains = Some(now);
+            info!(self.log, "server drains"; "upstream" => id);
         }
     }
 
--- a/node/src/wire/following.rs
+++ b/node/src/wire/following.rs
@@ -128,6 +128,11 @@
         self.call == Call::Out && self.watches
     }
 
+    /// When the last call was made.
+    pub fn asked(&self) -> Micros {
+        self.asked
+    }
+
     pub fn failures(&self) -> u32 {
         self.failures
     }
--- a/node/src/wire/following/tests.rs
+++ b/node/src/wire/following/tests.rs
@@ -16,10 +16,6 @@
 
 /// For tests on sockets too.
 impl Following {
-    pub fn asked(&self) -> Micros {
-        self.asked
-    }
-
     /// As if the call that is out had been made so much earlier.
     pub fn made_before(&mut self, micros: Micros) {
         self.asked -= micros;
