--- a/lab/src/clock.rs
+++ b/lab/src/clock.rs
@@ -16,6 +16,10 @@
         self.0.get_or_init(|| (Instant::now(), unix.as_millis() as u64));
     }
 
+    pub fn has_begun(&self) -> bool {
+        self.0.get().is_some()
+    }
+
     pub fn now(&self) -> Micros {
         self.0.get().map_or(0, |(began, _)| began.elapsed().as_micros() as Micros)
     }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod clock;
 mod commands;
+mod discovery;
 mod explore;
 mod figures;
 mod fleet;
--- a/lab/src/overhead.rs
+++ b/lab/src/overhead.rs
@@ -14,7 +14,7 @@
 use crate::load::{Found, Plan, load};
 use crate::play::{Folder, runtime};
 use crate::world::{World, locked};
-use crate::{http, stand};
+use crate::{discovery, http};
 
 /// Tickets before those that count: connections come about, and the balancer learns the fleet.
 const WARMS: Duration = Duration::from_secs(2);
@@ -104,7 +104,7 @@
             world.listens(number, address, false);
             addresses.push(address);
         }
-        let discovery = stand::discovery(&world, 0).await.map_err(|problem| problem.to_string())?;
+        let discovery = discovery::serve(&world, 0).await.map_err(|problem| problem.to_string())?;
         Ok::<_, String>((addresses, discovery))
     })?;
     let company = wishes.members.map(|members| Company::start(members.saturating_sub(1))).transpose();
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -18,6 +18,7 @@
 use crate::balancers::{Balancer, own_binary, used, wait_ready};
 use crate::baseline::{self, Policy};
 use crate::clients::{Load, worker};
+use crate::discovery;
 use crate::figures::Figures;
 use crate::fleet::duties::{DutyLines, machine_now};
 use crate::fleet::relays::{Relayed, flood, relay};
@@ -194,7 +195,7 @@
     for number in 0..*world.day.balancers.get_ref() {
         let mut discovery = Vec::new();
         for _ in 0..2 {
-            let address = stand::discovery(world, number).await;
+            let address = discovery::serve(world, number).await;
             discovery.push(address.map_err(|problem| format!("cannot start discovery: {problem}"))?);
         }
         match who {
--- a/lab/src/stand.rs
+++ b/lab/src/stand.rs
@@ -1,16 +1,13 @@
-//! Servers and discovery on loopback sockets.
+//! Servers on loopback sockets.
 
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
+use pinefront_model::Micros;
 use pinefront_model::day::Kind;
-use pinefront_model::discovery::State;
-use pinefront_model::faults::Telling;
 use pinefront_model::judge::Seen;
 use pinefront_model::server::How;
-use pinefront_model::{Micros, SECOND};
-use serde_json::json;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -19,8 +16,6 @@
 use crate::http;
 use crate::world::{Stand, World};
 
-/// The longest that a watch waits, whatever it asks for.
-const WATCH_MOST: Duration = Duration::from_secs(60);
 /// Pieces that an answer is written in.
 const PIECES: usize = 6;
 /// How late a second answer comes at most: some milliseconds.
@@ -177,7 +172,7 @@
 }
 
 /// Waits until the other side ends the connection or its sending on it.
-async fn ended(stream: &mut TcpStream, kept: &mut Vec<u8>) {
+pub async fn ended(stream: &mut TcpStream, kept: &mut Vec<u8>) {
     while let Ok(true) = http::more(stream, kept).await {}
 }
 
@@ -228,103 +223,3 @@
     // The connection ends either way.
     let _ = stream.write_all(text.as_bytes()).await;
 }
-
-/// Starts discovery for one balancer, on an address of its own so that the judge knows whom it told.
-pub async fn discovery(world: &Arc<World>, balancer: usize) -> io::Result<std::net::SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    let world = Arc::clone(world);
-    tokio::spawn(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => _ = tokio::spawn(calls(Arc::clone(&world), balancer, stream)),
-                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
-            }
-        }
-    });
-    Ok(address)
-}
-
-/// Answers calls for the list on one connection.
-async fn calls(world: Arc<World>, balancer: usize, mut stream: TcpStream) {
-    let mut kept = Vec::new();
-    while let Some(asked) = http::next_request(&mut stream, &mut kept).await {
-        kept.drain(..asked.end);
-        let number = |name: &str| -> Option<u64> {
-            let query = asked.path.split_once('?')?.1;
-            query.split('&').find_map(|part| part.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
-        };
-        world.calls.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let (since, wait) = (number("since"), Duration::from_millis(number("timeout_ms").unwrap_or(0)));
-        let began = world.now();
-        if let Some(since) = since {
-            wait_for_news(&world, since, wait.min(WATCH_MOST)).await;
-        }
-        let silent = world.line().began(Kind::WatchesSilent, began, world.now());
-        if let Some(silent) = silent.filter(|_| since.is_some()) {
-            let over = began + wait.as_micros() as Micros + 2 * SECOND;
-            world.excuse(balancer, over.max(silent + 6 * SECOND));
-            // Nothing says that nothing will come.
-            while let Ok(true) = http::more(&mut stream, &mut kept).await {}
-            return;
-        }
-        match world.line().telling(world.now()) {
-            Telling::Gone => return http::reset(stream),
-            Telling::Fine | Telling::Stale(_) => {}
-        }
-        if tell(&world, balancer, &mut stream, since).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// The moment whose list discovery tells now.
-fn told_moment(world: &World) -> Micros {
-    match world.line().telling(world.now()) {
-        Telling::Stale(by) => world.now().saturating_sub(by),
-        _ => world.now(),
-    }
-}
-
-async fn wait_for_news(world: &World, since: u64, wait: Duration) {
-    let until = tokio::time::Instant::now() + wait;
-    let mut listed = world.listed.subscribe();
-    loop {
-        listed.mark_unchanged();
-        let moment = told_moment(world);
-        let (version, next) =
-            world.with_registry(|registry| (registry.version(moment), registry.next(since)));
-        if version > since || world.line().telling(world.now()) == Telling::Gone {
-            return;
-        }
-        // Staleness begins and ends by itself, so it is looked at now and then.
-        let latest = tokio::time::Instant::now() + LOOKS_AT_LEAST;
-        let next = next.map_or(latest, |next| tokio::time::Instant::from(world.clock.at(next)).min(latest));
-        tokio::select! {
-            () = sleep_until(next.min(until)) => {}
-            _ = listed.changed() => {}
-        }
-        if tokio::time::Instant::now() >= until {
-            return;
-        }
-    }
-}
-
-async fn tell(world: &World, balancer: usize, stream: &mut TcpStream, since: Option<u64>) -> io::Result<()> {
-    let moment = told_moment(world);
-    let (version, entries) = world.with_registry(|registry| match since {
-        Some(since) => registry.since(moment, since),
-        None => registry.list(moment),
-    });
-    let targets: Vec<_> = entries.iter().filter_map(|entry| world.entry(entry)).collect();
-    let body = json!({"rev": version, "all": since.is_none(), "targets": targets}).to_string();
-    http::answer(stream, "200 OK", "", &body).await?;
-    let now = world.now();
-    let told = |server, drains| world.note(now, Seen::Told { balancer, server, drains });
-    if since.is_none() {
-        let named = |server: &usize| entries.iter().all(|entry| entry.server != *server);
-        (0..world.stands().len()).filter(named).for_each(|server| told(server, true));
-    }
-    entries.iter().for_each(|entry| told(entry.server, entry.state != State::Active));
-    Ok(())
-}
--- a/lab/src/standing.rs
+++ b/lab/src/standing.rs
@@ -16,7 +16,7 @@
 
 use crate::play::{drive, runtime, start_servers};
 use crate::world::World;
-use crate::{balancers, http, stand};
+use crate::{balancers, discovery, http};
 
 const LOOKS_APART: Duration = Duration::from_millis(100);
 
@@ -27,7 +27,7 @@
     let world = Arc::new(World::new(day.clone(), day.seed));
     let done = runtime.block_on(async {
         start_servers(&world).await?;
-        let discovery = stand::discovery(&world, 0)
+        let discovery = discovery::serve(&world, 0)
             .await
             .map_err(|problem| format!("cannot start discovery: {problem}"))?;
         let pages = TcpListener::bind(page)
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard};
 
 use pinefront_model::Micros;
+use pinefront_model::call_queue::CallQueue;
 use pinefront_model::chance::Chance;
 use pinefront_model::day::{Day, Effect, Fault, Group, Kind};
 use pinefront_model::discovery::{Entry, Registry, State};
@@ -60,6 +61,7 @@
     pub added: Notify,
     stands: RwLock<Vec<Arc<Stand>>>,
     registry: Mutex<Registry>,
+    pub call_queue: Mutex<CallQueue>,
     /// Told when the list changes.
     pub listed: watch::Sender<u64>,
     pub ledger: Mutex<Ledger>,
@@ -95,6 +97,7 @@
             added: Notify::new(),
             stands: RwLock::new(stands),
             registry: Mutex::new(registry),
+            call_queue: Mutex::new(CallQueue::new(&day.discovery)),
             listed: watch::Sender::new(0),
             tickets: Mutex::default(),
             repeats: Mutex::default(),
--- a/model/src/check.rs
+++ b/model/src/check.rs
@@ -15,6 +15,8 @@
 const BALANCERS_MOST: usize = 64;
 const RATE_MOST: f64 = 200_000.0;
 const KEYS_MOST: usize = 1_000_000;
+/// The most calls a second that a discovery can be said to carry.
+const CALLS_MOST: f64 = 100_000.0;
 
 /// One thing wrong with a day.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
@@ -162,6 +164,9 @@
         if day.discovery.delay[0] > day.discovery.delay[1] {
             self.about("discovery", "delay", "the least is above the greatest");
         }
+        if !(0.0..=CALLS_MOST).contains(&day.discovery.calls_per_second) {
+            self.about("discovery", "calls_per_second", format!("must be 0 to {CALLS_MOST}"));
+        }
         if day.traffic.keys == 0 || day.traffic.keys > KEYS_MOST {
             self.about("traffic", "keys", format!("must be 1 to {KEYS_MOST}"));
         }
--- a/model/src/day.rs
+++ b/model/src/day.rs
@@ -181,11 +181,20 @@
     pub ask_within: Span,
     /// Between a change and the list that tells it, at least and at most.
     pub delay: [Span; 2],
+    /// Calls that all balancers together may make a second, worked through in turn; 0: as many as come.
+    pub calls_per_second: f64,
+    /// A call that would wait longer for its turn is refused.
+    pub longest_queue: Span,
 }
 
 impl Default for Discovery {
     fn default() -> Self {
-        Self { ask_within: Span(10 * SECOND), delay: [Span(200_000), Span(800_000)] }
+        Self {
+            ask_within: Span(10 * SECOND),
+            delay: [Span(200_000), Span(800_000)],
+            calls_per_second: 0.0,
+            longest_queue: Span(2 * SECOND),
+        }
     }
 }
 
@@ -342,6 +351,24 @@
     BalancerReloaded,
     /// Watches that are open at the beginning fall silent: nothing comes on them any more, and nothing says so.
     WatchesSilent,
+    /// Watches that are open at the beginning are reset.
+    WatchesReset,
+    /// Discovery takes `factor` times as long for each call.
+    DiscoverySlow,
+    /// `factor` of discovery's answers are cut at any byte, and their connection ends.
+    ListsCut,
+    /// `factor` of its answers come in pieces with pauses, over up to `by` in all.
+    ListsInPieces,
+    /// `factor` of its answers are written up to `by` late.
+    ListsLate,
+    /// `factor` of its answers are followed by a reset at once.
+    ListsReset,
+    /// `factor` of the calls are answered 503.
+    ListsRefused,
+    /// `factor` of the watches are answered with the whole list.
+    ListsWhole,
+    /// `factor` of its answers hold an entry that cannot be understood.
+    ListsStrange,
     /// `factor` of the clients write their requests in pieces.
     ClientsInPieces,
     /// Clients stop in the middle of a request and stay, `factor` of them a second for each balancer.
--- a/model/src/discovery.rs
+++ b/model/src/discovery.rs
@@ -93,7 +93,7 @@
     #[test]
     fn changes_are_told_late_in_order_and_each_server_once() {
         let delay = [Span(100), Span(1000)];
-        let mut registry = Registry::new(&Discovery { ask_within: Span(0), delay }, 3, 5);
+        let mut registry = Registry::new(&Discovery { delay, ..Discovery::default() }, 3, 5);
         assert_eq!(registry.list(0).0, 3);
         let first = registry.change(0, entry(1, State::Leaving));
         let second = registry.change(0, entry(1, State::Left));
--- a/model/src/faults.rs
+++ b/model/src/faults.rs
@@ -97,7 +97,24 @@
             || self.is_of_clients()
             || self.is_of_answers()
             || self.is_of_system()
-            || self == Self::WatchesSilent
+            || self.is_of_lists()
+    }
+
+    /// Whether it is about how discovery answers.
+    pub fn is_of_lists(self) -> bool {
+        matches!(
+            self,
+            Self::WatchesSilent
+                | Self::WatchesReset
+                | Self::DiscoverySlow
+                | Self::ListsCut
+                | Self::ListsInPieces
+                | Self::ListsLate
+                | Self::ListsReset
+                | Self::ListsRefused
+                | Self::ListsWhole
+                | Self::ListsStrange
+        )
     }
 
     /// Whether it is about what clients do.
@@ -157,6 +174,14 @@
             Self::ClientsInPieces | Self::ClientsPipeline => Some((0.3, 0.0, 1.0)),
             Self::AnswersInPieces | Self::AnswersUnended | Self::AnswersTwice => Some((0.3, 0.0, 1.0)),
             Self::ClientsStop => Some((2.0, 0.0, 20.0)),
+            Self::DiscoverySlow => Some((3.0, 1.0, 100.0)),
+            Self::ListsCut
+            | Self::ListsInPieces
+            | Self::ListsLate
+            | Self::ListsReset
+            | Self::ListsRefused
+            | Self::ListsWhole
+            | Self::ListsStrange => Some((0.3, 0.0, 1.0)),
             Self::SystemFails | Self::CallsShort => Some((0.05, 0.0, 0.5)),
             Self::ConnectionsBreak | Self::HeldUp => Some((0.003, 0.0, 0.2)),
             Self::ClockSteps => Some((1.0, -1.0, 1.0)),
@@ -178,6 +203,8 @@
                 | Self::IdleClosed
                 | Self::HeldUp
                 | Self::ClockSteps
+                | Self::ListsInPieces
+                | Self::ListsLate
         )
     }
 }
@@ -327,6 +354,11 @@
         self.wide.iter().filter(|at| at.0 == kind).map(|at| at.1).find(|at| (from..to).contains(at))
     }
 
+    /// When the next fault of that kind begins, from a moment on.
+    pub fn begins_next(&self, kind: Kind, from: Micros) -> Option<Micros> {
+        self.wide.iter().filter(|at| at.0 == kind && at.1 >= from).map(|at| at.1).min()
+    }
+
     /// The multiple of the usual traffic that bursts make.
     pub fn burst(&self, now: Micros) -> f64 {
         self.wide_at(Kind::Burst, now).map(|(factor, _)| factor).product()
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -4,6 +4,7 @@
 //! and chance comes from a seed. The same seed gives the same events. On loopback sockets these parts are stand-ins,
 //! on a virtual clock they are actors.
 
+pub mod call_queue;
 pub mod chance;
 pub mod check;
 pub mod day;
