Discovery is heard to the end of each call, and what it wrote holds as it comes

Causes: (1) a call that waited in discovery's queue was given up after 2.5 s, always, as call_failed ended the connection before Following could see the call as slow; where discovery keeps calls for 3 s each turn was spent on a caller that had gone and nobody new was answered (metastable). (2) An answer that ended too early, and what lay unread on a connection we closed, were thrown away though they count as told.

Change: wire/discovery/schedule.rs in place of following.rs: one call is awaited, a call that is overdue is replaced and heard on (two at most), one method notes each end. Parts of answers are read: what takes servers away holds. A lost answer is asked for at once. The check of the known list is made beside the watch. A reload with the same discovery keeps the watch.

--- a/node/src/life/reasons.rs
+++ b/node/src/life/reasons.rs
@@ -33,7 +33,8 @@
 // The connection to discovery.
 pub const DISCOVERY_CLOSED: &str = "discovery_closed";
 pub const DISCOVERY_BROKEN: &str = "discovery_broken";
-pub const DISCOVERY_OVERDUE: &str = "discovery_overdue";
+pub const DISCOVERY_CUT: &str = "discovery_cut";
+pub const DISCOVERY_REPLACED: &str = "discovery_replaced";
 pub const DISCOVERY_ERROR: &str = "discovery_error";
 
 // Any of them.
--- a/node/src/life/reread.rs
+++ b/node/src/life/reread.rs
@@ -60,6 +60,7 @@
         let mut borrowed = self.desk.borrow_mut();
         let desk = &mut *borrowed;
         desk.counters.rereads += 1;
+        let discovery_before = desk.place.discovery;
         let taken = read(path, &variables).and_then(|(_, place, terms)| {
             let own = place.peers.get(place.own_number).copied();
             let ear = Ear::moved(desk.ear.as_ref(), &desk.handle, own)
@@ -86,8 +87,9 @@
                     "clients_most" => place.clients_most, "links_most" => place.links_most,
                     "settings_changed" => changed, "use_cases" => place.use_cases.join(","));
                 desk.counters.settings_changed += u64::from(changed);
-                let address = place.discovery;
-                desk.discovery_moved(address);
+                if place.discovery != discovery_before {
+                    desk.ask_elsewhere();
+                }
                 if changed {
                     self.balancer.terms_changed(terms);
                 }
--- a/node/src/life/reread/tests.rs
+++ b/node/src/life/reread/tests.rs
@@ -42,12 +42,13 @@
         let path = file(&format!("round-{round}"), &told("127.0.0.1:0", &address).to_string());
         stand.node.reread(Some(&path), &variables());
         std::fs::remove_file(path).unwrap();
-        stand.ends(&old);
         let call = stand.accepted(&new);
         assert!(stand.heard(&call, "\r\n\r\n").starts_with("GET /registry/instances HTTP/1.1\r\n"));
         let list = json!({"rev": 1, "all": true,
             "targets": [entry("s1", upstream.local_addr().unwrap(), "active")]});
         say(&call, &answer(&list));
+        // What the former discovery told until then counts, so it is heard as long.
+        stand.ends(&old);
         assert!(stand.heard(&call, "\r\n\r\n").contains("since=1&"));
         // The next round finds a watch of this one.
         stand.discovery = new;
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -26,7 +26,7 @@
 use crate::memory::counters::Counters;
 use crate::memory::deadlines::Deadlines;
 use crate::memory::desk::Desk;
-use crate::wire::discovery::Roster;
+use crate::wire::discovery::Discovery;
 use crate::wire::peers::Ear;
 
 #[cfg(test)]
@@ -115,7 +115,7 @@
         by_id: HashMap::new(),
         upstreams: SlotMap::with_key(),
         by_name: HashMap::new(),
-        roster: Roster::new(seed),
+        discovery: Discovery::new(seed),
         ear,
         fleet: None,
         deadlines: Deadlines::default(),
@@ -132,7 +132,7 @@
     if let Some(known) = optional(told, "known", Some)? {
         let mut desk = node.desk.borrow_mut();
         // An old list that cannot be read is no reason not to serve: discovery has a new one.
-        if let Err(problem) = desk.roster.hold_known(known) {
+        if let Err(problem) = desk.discovery.hold_known(known) {
             warn!(desk.log, "known list not understood"; "problem" => problem);
         }
     }
--- a/node/src/life/stop.rs
+++ b/node/src/life/stop.rs
@@ -96,6 +96,6 @@
         clients.into_iter().for_each(|slot| self.end_client(slot, reasons::STOPPED));
         let links: Vec<_> = self.links.keys().collect();
         links.into_iter().for_each(|slot| self.end_link(slot, reasons::STOPPED));
-        self.end_discovery(reasons::STOPPED);
+        self.end_all_discovery(reasons::STOPPED);
     }
 }
--- a/node/src/memory/desk.rs
+++ b/node/src/memory/desk.rs
@@ -22,7 +22,7 @@
 use crate::memory::counters::Counters;
 use crate::memory::deadlines::{self, Deadlines};
 use crate::memory::slots::{ClientSlot, LinkSlot, TicketSlot, UpstreamSlot};
-use crate::wire::discovery::Roster;
+use crate::wire::discovery::Discovery;
 use crate::wire::peers::Ear;
 
 /// A socket with its place in the event loop.
@@ -170,7 +170,7 @@
     pub by_id: HashMap<Rc<str>, TicketSlot>,
     pub upstreams: SlotMap<UpstreamSlot, Upstream>,
     pub by_name: HashMap<Rc<str>, UpstreamSlot>,
-    pub roster: Roster,
+    pub discovery: Discovery,
     /// Where the other balancers are heard, if the settings let them speak.
     pub ear: Option<Ear>,
     /// This balancer's part in its fleet, where an operator file names one.
--- a/node/src/wire/discovery/tests.rs
+++ b/node/src/wire/discovery/tests.rs
@@ -26,7 +26,7 @@
     assert!((750..=4_500).contains(&wait), "{watch}");
     let desk = stand.node.desk.borrow();
     assert_eq!(desk.upstreams[desk.by_name["s1"]].address, Some(address));
-    assert!(desk.roster.stands());
+    assert!(desk.discovery.stands());
 }
 
 #[rstest]
@@ -53,9 +53,9 @@
     let first = call(&mut stand);
     say(&first, &answer(&json!({"rev": 41, "all": true, "targets": []})));
     // The next call is not made at once: the close comes before it.
-    stand.until(|node| node.desk.borrow().roster.taken.then_some(()));
+    stand.until(|node| node.desk.borrow().discovery.taken.then_some(()));
     drop(first);
-    stand.until(|node| node.desk.borrow().roster.wired.is_none().then_some(()));
+    stand.until(|node| node.desk.borrow().discovery.connections.is_empty().then_some(()));
     let discovery = stand.discovery.try_clone().unwrap();
     let next = stand.accepted(&discovery);
     assert!(stand.heard(&next, "\r\n\r\n").contains("since=41"));
@@ -66,7 +66,7 @@
 fn a_call_without_an_answer_is_given_up_and_made_again() {
     let mut stand = Stand::new();
     let silent = call(&mut stand);
-    stand.node.desk.borrow_mut().roster.following.made_before(60_000_000);
+    stand.node.desk.borrow_mut().discovery.schedule.made_before(60_000_000);
     stand.node.discovery_due();
     stand.ends(&silent);
     call(&mut stand);
@@ -80,7 +80,7 @@
     say(&first, &answer(&json!({"rev": 41, "all": true, "targets": []})));
     assert!(stand.heard(&first, "\r\n\r\n").contains("since=41&"));
     let began = stand.node.desk.borrow().now();
-    stand.node.desk.borrow_mut().roster.following.made_before(60_000_000);
+    stand.node.desk.borrow_mut().discovery.schedule.made_before(60_000_000);
     stand.node.discovery_due();
     stand.ends(&first);
     let discovery = stand.discovery.try_clone().unwrap();
@@ -88,7 +88,7 @@
     assert!(stand.heard(&next, "\r\n\r\n").contains("since=41&"));
     let desk = stand.node.desk.borrow();
     // Far less than the module waits after a failed call (a quarter of the span at least, where ten ask).
-    assert_eq!((desk.counters.lists_failed, desk.roster.following.asked() - began < 200_000), (0, true));
+    assert_eq!((desk.counters.lists_failed, desk.discovery.schedule.asked() - began < 200_000), (0, true));
 }
 
 #[test]
@@ -122,12 +122,15 @@
 /// the list that a process is started with is none to serve by, however long the answer takes.
 #[test]
 fn the_known_list_serves_only_where_discovery_could_not_be_asked() {
-    let mut roster = Roster::new(1);
-    assert!(!roster.stands(), "without any list");
-    roster.known = true;
-    assert!(!roster.stands(), "while discovery is asked");
-    roster.following.failed(1_000, None);
-    assert!(roster.stands(), "discovery could not be asked");
+    let mut discovery = Discovery::new(1);
+    assert!(!discovery.stands(), "without any list");
+    discovery.known = true;
+    let settings = Settings { ask_within: None, balancers: 1 };
+    discovery.schedule.follow(0);
+    let Some(Action::Open(call, _)) = discovery.schedule.poll(0, settings) else { panic!("no call") };
+    assert!(!discovery.stands(), "while discovery is asked");
+    discovery.schedule.failed(call, 1_000, Failure::Unreached, settings);
+    assert!(discovery.stands(), "discovery could not be asked");
 }
 
 #[test]
@@ -165,7 +168,7 @@
     let gone = listener().local_addr().unwrap();
     say(&first, &answer(&json!({"rev": 41, "all": true, "targets": [entry("s1", gone, "active")]})));
     assert!(stand.heard(&first, "\r\n\r\n").contains("since=41&"));
-    stand.node.desk.borrow_mut().roster.following.made_before(3_000_000);
+    stand.node.desk.borrow_mut().discovery.schedule.made_before(3_000_000);
     let _client = stand.dispatched("t1", "s1", 60_000_000);
     stand.until(|node| (node.desk.borrow().counters.dispatches_unreachable > 0).then_some(()));
     let asked = stand.node.desk.borrow().counters.lists_asked;
@@ -197,7 +200,7 @@
     std::thread::sleep(std::time::Duration::from_millis(300));
     assert_eq!(status(&mut stand), "HTTP/1.1 503");
     say(&call, &answer(&json!({"rev": 2, "all": false, "targets": []})));
-    stand.until(|node| node.desk.borrow().roster.taken.then_some(()));
+    stand.until(|node| node.desk.borrow().discovery.taken.then_some(()));
     assert_eq!(status(&mut stand), "HTTP/1.1 200");
 }
 
@@ -225,7 +228,7 @@
         say(&call, &answer(&json!({"rev": 8, "all": false, "targets": []})));
     }
     drop(call);
-    stand.until(|node| node.desk.borrow().roster.stands().then_some(()));
+    stand.until(|node| node.desk.borrow().discovery.stands().then_some(()));
     let _served = ask(&mut stand, "t2");
     let link = stand.accepted(&upstream);
     stand.heard(&link, "body");
@@ -253,7 +256,7 @@
     let watch = watch_of(&mut stand, &["s1"]);
     let gone = listener().local_addr().unwrap();
     say(&watch, &answer(&json!({"rev": 42, "all": false, "targets": [entry("s1", gone, "leaving")]})));
-    stand.node.desk.borrow_mut().roster.following.made_before(60_000_000);
+    stand.node.desk.borrow_mut().discovery.schedule.made_before(60_000_000);
     stand.node.discovery_due();
     let _silent = stand.accepted_discovery();
     stand.until(|node| (!node.desk.borrow().by_name.contains_key("s1")).then_some(()));
--- a/node/src/wire/heads.rs
+++ b/node/src/wire/heads.rs
@@ -108,6 +108,31 @@
     }
 }
 
+/// The slices of a body that are here, though it may not be whole.
+pub fn body_so_far(bytes: &[u8], from: usize, framing: Framing) -> Vec<Range<usize>> {
+    match framing {
+        Framing::Length(length) => {
+            std::iter::once(from..bytes.len().min(from.saturating_add(length))).collect()
+        }
+        Framing::Unsaid => std::iter::once(from..bytes.len()).collect(),
+        Framing::Chunked => chunks_so_far(bytes, from),
+    }
+}
+
+fn chunks_so_far(bytes: &[u8], mut at: usize) -> Vec<Range<usize>> {
+    let mut slices = Vec::new();
+    while let Some(rest) = bytes.get(at..)
+        && let Ok(httparse::Status::Complete((line, size))) = httparse::parse_chunk_size(rest)
+        && let Some(size) = usize::try_from(size).ok().filter(|size| *size > 0)
+    {
+        let from = at + line;
+        let to = from.saturating_add(size);
+        slices.push(from..to.min(bytes.len()));
+        at = to.saturating_add(2);
+    }
+    slices
+}
+
 fn chunks(bytes: &[u8], mut at: usize, most: usize) -> Body {
     let (mut slices, mut length) = (Vec::new(), 0);
     loop {
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -4,7 +4,6 @@
 pub mod answers;
 pub mod clients;
 pub mod discovery;
-pub mod following;
 pub mod hands;
 pub mod heads;
 pub mod peers;
--- a/node/src/wire/tickets.rs
+++ b/node/src/wire/tickets.rs
@@ -148,7 +148,7 @@
     /// Pages about the balancer itself.
     fn own_page(&mut self, slot: ClientSlot, method: &str, path: &str) -> bool {
         let (status, text) = match path {
-            "/health/ready" if self.stopping.is_some() || !self.roster.stands() => {
+            "/health/ready" if self.stopping.is_some() || !self.discovery.stands() => {
                 (503, "not ready\n".into())
             }
             "/health/ready" => (200, "ready\n".into()),
