--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -281,7 +281,7 @@
     }
 
     /// Returns the lists of requests that wait for capacity, for loads or for their key.
-    fn waiting_lists(&mut self) -> impl Iterator<Item = &mut Vec<Request>> {
+    pub(crate) fn waiting_lists(&mut self) -> impl Iterator<Item = &mut Vec<Request>> {
         let key_queues = self.key_queues.queues.values_mut();
         [&mut self.queue.requests, &mut self.load_polls.requests]
             .into_iter()
--- a/crates/policy/src/decisions/endpoint_list.rs
+++ b/crates/policy/src/decisions/endpoint_list.rs
@@ -2,14 +2,14 @@
 //!
 //! Invariant: nothing more is sent to an endpoint that is draining or that is missing from a
 //! complete list. If `unlisted_stay_usable` is set, an endpoint that is missing from the list
-//! remains usable for a time.
+//! remains usable for a time, unless another one was listed at its address.
 
 use nanorand::Rng;
 
 use crate::balancer::Balancer;
 use crate::state::decaying::DecayingAverage;
 use crate::state::timers::LIST_POLL_TIMER;
-use crate::{Host, Micros};
+use crate::{EndpointLocation, Host, Micros};
 
 /// Upper bound of the time over which a very large fleet spreads its first polls, as a fraction of
 /// the longest poll interval.
@@ -98,8 +98,12 @@
     pub fn endpoint_listed(&mut self, listed: ListedEndpoint<'_>) {
         let slot = self.endpoints.find_or_add(listed.id);
         let endpoint = &mut self.endpoints[slot.index];
-        endpoint.zone = listed.zone;
-        endpoint.cell = listed.cell;
+        let location = EndpointLocation {
+            zone: listed.zone,
+            cell: listed.cell,
+        };
+        let has_moved = endpoint.location != location && !slot.added;
+        endpoint.location = location;
         endpoint.ready = true;
         endpoint.unlisted_since = None;
         if listed.started_at > endpoint.started_at && !slot.added {
@@ -112,6 +116,33 @@
         let average = &mut endpoint.weight;
         average.total.sum = average.total.sum * WEIGHT_RETENTION + listed.weight;
         average.weight.sum = average.weight.sum * WEIGHT_RETENTION + 1.0;
+        if has_moved {
+            self.forget_attempt_locations(slot.index);
+        }
+    }
+
+    /// Handles the replacement of an endpoint: the list names another endpoint at its address, so
+    /// nothing more is sent to it. Attempts that were sent to it may have run at the other one.
+    pub fn endpoint_replaced(&mut self, id: &str) {
+        if let Some(index) = self.endpoints.index_of(id) {
+            self.endpoints[index].ready = false;
+            self.forget_attempt_locations(index);
+        }
+    }
+
+    /// Returns whether requests may be sent to an endpoint, as far as the list determines that.
+    pub fn is_endpoint_usable(&self, id: &str) -> bool {
+        let index = self.endpoints.index_of(id);
+        index.is_some_and(|index| self.endpoints[index].ready)
+    }
+
+    fn forget_attempt_locations(&mut self, index: usize) {
+        for request in self.waiting_lists().flatten() {
+            request.forget_location(index);
+        }
+        for request in self.requests.values_mut() {
+            request.forget_location(index);
+        }
     }
 
     /// Handles the removal of an endpoint from the list.
--- a/crates/policy/src/decisions/features.rs
+++ b/crates/policy/src/decisions/features.rs
@@ -38,7 +38,7 @@
         });
         let load = self.loads(now, candidates, &freshness);
         let row = |(i, &index): (usize, &usize)| {
-            let same_zone = self.endpoints[index].zone == self.settings.zone;
+            let same_zone = self.endpoints[index].location.zone == self.settings.zone;
             [
                 1.0,
                 latency[i],
--- a/crates/policy/src/decisions/retry.rs
+++ b/crates/policy/src/decisions/retry.rs
@@ -64,15 +64,9 @@
         else {
             return true;
         };
-        let endpoint = &self.endpoints[index];
-        request.attempts_that_may_have_run().all(|attempt| {
-            let earlier = &self.endpoints[attempt.endpoint];
-            match scope {
-                IdempotencyScope::All => true,
-                IdempotencyScope::Zone => earlier.zone == endpoint.zone,
-                IdempotencyScope::Cell => earlier.cell == endpoint.cell,
-            }
-        })
+        let location = Some(self.endpoints[index].location);
+        let mut earlier = request.attempts_that_may_have_run();
+        earlier.all(|attempt| scope.is_shared(attempt.location, location))
     }
 
     /// Returns whether a request may be attempted at all, now or later.
@@ -85,15 +79,17 @@
             && request.attempt_in_flight().is_none()
     }
 
-    /// Returns whether idempotency allows another run now.
+    /// Returns whether idempotency allows another run now, at any endpoint. It does not if it is
+    /// unknown which endpoints would discard the run.
     fn may_run_again(&self, now: Micros, request: &Request) -> bool {
         let mut earlier = request.attempts_that_may_have_run();
         match self.settings.classes[request.class].idempotency {
             Idempotency::Idempotent => true,
             Idempotency::NonIdempotent => earlier.next().is_none(),
-            Idempotency::IdempotencyKey { window, .. } => {
-                earlier.all(|attempt| now < start_deadline(attempt.sent_at, window))
-            }
+            Idempotency::IdempotencyKey { scope, window } => earlier.all(|attempt| {
+                let shares_keys = scope.is_shared(attempt.location, attempt.location);
+                shares_keys && now < start_deadline(attempt.sent_at, window)
+            }),
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,7 +31,9 @@
 pub use balancer::{AttemptEnd, Balancer, LoadReport, RequestArrival};
 pub use decisions::endpoint_list::ListedEndpoint;
 pub use host::Host;
-pub use settings::{Idempotency, IdempotencyScope, RequestClass, Settings, SlowStart};
+pub use settings::{
+    EndpointLocation, Idempotency, IdempotencyScope, RequestClass, Settings, SlowStart,
+};
 pub use time_margin::start_deadline;
 
 /// A time or a duration in whole microseconds.
--- a/crates/policy/src/settings.rs
+++ b/crates/policy/src/settings.rs
@@ -14,6 +14,29 @@
     Cell,
 }
 
+/// Where an endpoint belongs among the sets of endpoints that share idempotency keys.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointLocation {
+    /// Zone of the endpoint.
+    pub zone: u64,
+    /// Cell of the endpoint.
+    pub cell: u64,
+}
+
+impl IdempotencyScope {
+    /// Returns whether endpoints at these two locations share one set of keys. An unknown location
+    /// (`None`) shares its keys with no other, unless all endpoints share them.
+    #[must_use]
+    pub fn is_shared(self, one: Option<EndpointLocation>, other: Option<EndpointLocation>) -> bool {
+        let both = one.zip(other);
+        match self {
+            Self::All => true,
+            Self::Zone => both.is_some_and(|(one, other)| one.zone == other.zone),
+            Self::Cell => both.is_some_and(|(one, other)| one.cell == other.cell),
+        }
+    }
+}
+
 /// The effect of running a request a second time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
--- a/crates/policy/src/state/endpoint.rs
+++ b/crates/policy/src/state/endpoint.rs
@@ -2,11 +2,14 @@
 
 use std::rc::Rc;
 
-use crate::Micros;
 use crate::state::decaying::{DecayingAverage, DecayingSum};
 use crate::state::load_ledger::LoadLedger;
 use crate::state::slow_start_budget::SlowStartUsage;
+use crate::{EndpointLocation, Micros};
 
+/// Time in microseconds for which an unlisted endpoint and its state are kept: an endpoint that
+/// restarts after a crash is as fast as before.
+pub(crate) const UNLISTED_RETENTION_US: Micros = 60_000_000;
 /// Number of low bits of an endpoint's hash that its gossip ID omits.
 const GOSSIP_ID_SHIFT: u32 = 40;
 
@@ -30,8 +33,7 @@
     /// Name of the endpoint; empty for a free slot.
     pub(crate) id: Rc<str>,
     pub(crate) hash: u64,
-    pub(crate) zone: u64,
-    pub(crate) cell: u64,
+    pub(crate) location: EndpointLocation,
     pub(crate) ready: bool,
     /// Time at which the endpoint was removed from the list, if unlisted endpoints remain usable.
     pub(crate) unlisted_since: Option<Micros>,
@@ -81,6 +83,11 @@
         }
     }
 
+    /// Returns the time until which an unlisted endpoint remains usable; `None` if it is listed.
+    pub(crate) fn usable_until(&self) -> Option<Micros> {
+        Some(self.unlisted_since? + UNLISTED_RETENTION_US)
+    }
+
     /// Returns whether attempts of this balancer are in flight.
     pub(crate) fn has_in_flight(&self) -> bool {
         !self.in_flight.is_empty()
--- a/crates/policy/src/state/endpoint_table.rs
+++ b/crates/policy/src/state/endpoint_table.rs
@@ -8,11 +8,7 @@
 
 use crate::Micros;
 use crate::hashing::hash_name;
-use crate::state::endpoint::Endpoint;
-
-/// Time in microseconds for which the state of an unlisted endpoint is kept: an endpoint that
-/// restarts after a crash is as fast as before.
-const UNLISTED_RETENTION_US: Micros = 60_000_000;
+use crate::state::endpoint::{Endpoint, UNLISTED_RETENTION_US};
 
 /// All endpoints. The table dereferences to a slice, in which free slots have an empty `id`.
 #[derive(Default)]
@@ -90,9 +86,7 @@
     /// have been sent.
     pub(crate) fn evict_unlisted(&mut self, now: Micros) {
         for endpoint in &mut self.slots {
-            endpoint.ready &= endpoint
-                .unlisted_since
-                .is_none_or(|since| now < since + UNLISTED_RETENTION_US);
+            endpoint.ready &= endpoint.usable_until().is_none_or(|until| now < until);
             let known = !endpoint.id.is_empty();
             let old = endpoint.latest_deadline + UNLISTED_RETENTION_US < now;
             if known && !endpoint.ready && !endpoint.has_in_flight() && old {
--- a/crates/policy/src/state/request.rs
+++ b/crates/policy/src/state/request.rs
@@ -4,12 +4,15 @@
 
 use crate::scoring::score::DecisionSample;
 use crate::state::endpoint::InFlightAttempt;
-use crate::{AttemptOutcome, Micros};
+use crate::{AttemptOutcome, EndpointLocation, Micros};
 
 /// An attempt of a request.
 pub(crate) struct Attempt {
     /// Index of the endpoint.
     pub(crate) endpoint: usize,
+    /// Location of the endpoint when the attempt was sent; `None` once it is unknown which process
+    /// received the attempt.
+    pub(crate) location: Option<EndpointLocation>,
     pub(crate) sent_at: Micros,
     pub(crate) in_flight: bool,
     pub(crate) may_have_run: bool,
@@ -24,9 +27,15 @@
 }
 
 impl Attempt {
-    pub(crate) fn new(endpoint: usize, sent_at: Micros, sample: Option<DecisionSample>) -> Self {
+    pub(crate) fn new(
+        endpoint: usize,
+        location: EndpointLocation,
+        sent_at: Micros,
+        sample: Option<DecisionSample>,
+    ) -> Self {
         Self {
             endpoint,
+            location: Some(location),
             sent_at,
             in_flight: true,
             may_have_run: true,
@@ -118,6 +127,14 @@
         self.attempts.iter().filter(|attempt| attempt.may_have_run)
     }
 
+    /// Records that it is unknown which process received the attempts at an endpoint.
+    pub(crate) fn forget_location(&mut self, endpoint: usize) {
+        let attempts = self.attempts.iter_mut();
+        for attempt in attempts.filter(|attempt| attempt.endpoint == endpoint) {
+            attempt.location = None;
+        }
+    }
+
     /// Returns the entry with which an endpoint records an attempt of this request that was sent at
     /// `sent_at`.
     pub(crate) fn in_flight_attempt(&self, sent_at: Micros) -> InFlightAttempt {
--- a/crates/policy/src/state/subset.rs
+++ b/crates/policy/src/state/subset.rs
@@ -94,8 +94,9 @@
         ring.sort_by_key(|&index| (endpoints[index].hash, index));
         // If loads are polled, all zones count as the own one, because the score weighs the zone
         // against the load.
-        let same_zone =
-            |index: &usize| settings.polls_loads() || endpoints[*index].zone == settings.zone;
+        let same_zone = |index: &usize| {
+            settings.polls_loads() || endpoints[*index].location.zone == settings.zone
+        };
         let (same, remote): (Vec<_>, Vec<_>) = ring.into_iter().partition(same_zone);
         let start = settings.own_index as f64 * RING_START_STEP;
         let [same, remote] = [same, remote].map(|ring| order_from(&ring, start));
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -13,8 +13,8 @@
 use crate::state::request::{Attempt, Request};
 use crate::state::timers::QUEUE_TIMER;
 use crate::{
-    AttemptEnd, AttemptOutcome, Host, Idempotency, IdempotencyScope, ListedEndpoint, LoadReport,
-    Micros, RequestArrival, RequestClass, Settings, SlowStart,
+    AttemptEnd, AttemptOutcome, EndpointLocation, Host, Idempotency, IdempotencyScope,
+    ListedEndpoint, LoadReport, Micros, RequestArrival, RequestClass, Settings, SlowStart,
 };
 
 mod admission;
@@ -218,12 +218,20 @@
     InFlightAttempt { sent_at, work: 1.0 }
 }
 
-/// Creates a request that was attempted at these endpoints.
+/// Returns the location of an endpoint of [`balancer`].
+fn location(index: usize) -> EndpointLocation {
+    EndpointLocation {
+        zone: 0,
+        cell: index as u64 % 2,
+    }
+}
+
+/// Creates a request that was attempted at these endpoints of [`balancer`].
 fn request(endpoints: &[usize], may_have_run: bool) -> Request {
     let sent = |&index| Attempt {
         in_flight: false,
         may_have_run,
-        ..Attempt::new(index, START_AT, None)
+        ..Attempt::new(index, location(index), START_AT, None)
     };
     let (objective_at, deadline) = (START_AT + 400 * MS, START_AT + 5_000 * MS);
     let attempts = endpoints.iter().map(sent).collect();
--- a/crates/policy/src/tests/endpoint_list.rs
+++ b/crates/policy/src/tests/endpoint_list.rs
@@ -98,3 +98,79 @@
     arrive(&mut balancer, START_AT, "b");
     assert_eq!(recorder.count("attempt"), sent);
 }
+
+/// Creates a balancer whose unlisted endpoints stay usable, with u0 and u2 in cell 0, u1 and u3 in
+/// cell 1.
+fn balancer_with_unlisted_endpoints(
+    idempotency: Idempotency,
+) -> (Balancer<RecordingHost>, RecordingHost) {
+    let (mut balancer, recorder) = balancer(idempotency, 4);
+    balancer.settings.unlisted_stay_usable = true;
+    (balancer, recorder)
+}
+
+/// Guards against review case 6: a server at the address of a removed one got requests under the
+/// old name.
+#[rstest]
+#[case::removed(true)]
+#[case::still_listed(false)]
+fn nothing_is_sent_to_a_replaced_endpoint(#[case] is_removed: bool) {
+    let (mut balancer, _) = balancer_with_unlisted_endpoints(Idempotency::Idempotent);
+    if is_removed {
+        balancer.endpoint_removed(START_AT, "u0");
+    }
+    assert!(balancer.is_endpoint_usable("u0"));
+    balancer.endpoint_replaced("u0");
+    balancer.endpoint_list_ended(START_AT);
+    assert!(!balancer.is_endpoint_usable("u0"));
+    assert!(!balancer.is_attempt_permitted(START_AT, &request(&[], false), 0));
+    balancer.endpoint_listed(listed("u0", 0, 0, 0));
+    assert!(balancer.is_attempt_permitted(START_AT, &request(&[], false), 0));
+}
+
+fn replace_u0(balancer: &mut Balancer<RecordingHost>) {
+    balancer.endpoint_replaced("u0");
+}
+
+fn list_u0_again(balancer: &mut Balancer<RecordingHost>) {
+    balancer.endpoint_listed(listed("u0", 0, 0, 0));
+}
+
+fn list_u0_in_other_cell(balancer: &mut Balancer<RecordingHost>) {
+    balancer.endpoint_listed(listed("u0", 0, 1, 0));
+}
+
+/// Guards against review case 6: a request that ran at the new server was repeated in the cell of
+/// the old one. Nobody discards a repetition for certain, so the request is answered immediately.
+#[rstest]
+#[case::replaced(CELL_SCOPED_KEY, AttemptOutcome::ConnectionLost, replace_u0, 0, 1)]
+#[case::listed_in_another_cell(
+    CELL_SCOPED_KEY,
+    AttemptOutcome::ConnectionLost,
+    list_u0_in_other_cell,
+    0,
+    1
+)]
+#[case::listed_as_before(CELL_SCOPED_KEY, AttemptOutcome::ConnectionLost, list_u0_again, 1, 0)]
+#[case::not_run(CELL_SCOPED_KEY, AttemptOutcome::Unreachable, replace_u0, 1, 0)]
+#[case::discarded_everywhere(ALL_SCOPED_KEY, AttemptOutcome::ConnectionLost, replace_u0, 1, 0)]
+fn a_request_at_a_replaced_endpoint_is_not_repeated_in_its_cell(
+    #[case] idempotency: Idempotency,
+    #[case] outcome: AttemptOutcome,
+    #[case] change: fn(&mut Balancer<RecordingHost>),
+    #[case] repeated: usize,
+    #[case] failed: usize,
+) {
+    let (mut balancer, recorder) = balancer_with_unlisted_endpoints(idempotency);
+    let mut sent = request(&[0], true);
+    sent.attempts[0].in_flight = true;
+    balancer.requests.insert(Rc::clone(&sent.id), sent);
+    change(&mut balancer);
+    balancer.endpoint_list_ended(START_AT);
+    let end = attempt_end(0, false, outcome, MS);
+    balancer.attempt_ended(START_AT + MS, "t", end);
+    assert_eq!(
+        (recorder.count("attempt"), recorder.count("fail")),
+        (repeated, failed)
+    );
+}
--- a/crates/proxy/src/connections/endpoint_pool.rs
+++ b/crates/proxy/src/connections/endpoint_pool.rs
@@ -189,7 +189,9 @@
         let reason = match self.endpoints.get_mut(connection.endpoint) {
             Some(endpoint) if now < endpoint.single_use_until => CloseReason::UnsolicitedResponse,
             Some(endpoint) if endpoint.draining_since.is_some() => CloseReason::Draining,
-            Some(endpoint) if endpoint.address != Some(connection.address) => {
+            Some(endpoint)
+                if endpoint.is_replaced || endpoint.address != Some(connection.address) =>
+            {
                 CloseReason::AddressChanged
             }
             Some(endpoint) => {
--- a/crates/proxy/src/connections/request.rs
+++ b/crates/proxy/src/connections/request.rs
@@ -175,6 +175,7 @@
             attempts: Vec::new(),
             idempotency,
             may_have_run_since: None,
+            possible_runs: Vec::new(),
         });
         self.counters.requests_received += 1;
         if let Some(client) = self.clients.get_mut(key) {
--- a/crates/proxy/src/connections/send_guard.rs
+++ b/crates/proxy/src/connections/send_guard.rs
@@ -13,7 +13,7 @@
 use crate::state::endpoint_connection::{EndpointConnection, Exchange};
 use crate::state::keys::EndpointConnectionKey;
 use crate::state::proxy::ProxyState;
-use crate::state::request::Request;
+use crate::state::request::{PossibleRun, Request};
 use crate::state::send_refusal::SendRefusal;
 use crate::state::socket::is_hung_up;
 
@@ -60,6 +60,7 @@
         self.check_client(request, &exchange, now)?;
         self.check_endpoint(connection)?;
         check_repeat(request, now)?;
+        self.check_scope(request, connection, &exchange)?;
         let mut others = request.attempts.iter().enumerate();
         if others.any(|(number, attempt)| number != exchange.number && attempt.is_some()) {
             return Err(SendRefusal::AttemptInFlight);
@@ -97,12 +98,37 @@
         if endpoint.draining_since.is_some() {
             return Err(SendRefusal::Draining);
         }
+        if endpoint.is_replaced {
+            return Err(SendRefusal::Replaced);
+        }
         if endpoint.address != Some(connection.address) {
             return Err(SendRefusal::AddressChanged);
         }
         Ok(())
     }
 
+    /// Checks that the endpoint would discard the request if an earlier attempt has run. The
+    /// locations may have changed since the policy's decision.
+    fn check_scope(
+        &self,
+        request: &Request,
+        connection: &EndpointConnection,
+        exchange: &Exchange,
+    ) -> Result<(), SendRefusal> {
+        let Idempotency::IdempotencyKey { scope, .. } = request.idempotency else {
+            return Ok(());
+        };
+        let endpoint = self.endpoints.get(connection.endpoint);
+        let location = endpoint.and_then(|endpoint| endpoint.location);
+        let mut earlier = request.possible_runs.iter();
+        let is_repeat_elsewhere = earlier
+            .any(|run| run.number != exchange.number && !scope.is_shared(run.location, location));
+        if is_repeat_elsewhere {
+            return Err(SendRefusal::OutsideIdempotencyScope);
+        }
+        Ok(())
+    }
+
     fn buffer_attempt(&mut self, key: EndpointConnectionKey, now: Micros) {
         let Some(connection) = self.endpoint_connections.get_mut(key) else {
             return;
@@ -110,9 +136,16 @@
         let Some(exchange) = connection.exchange else {
             return;
         };
-        let Some(request) = self.requests.get(exchange.request) else {
+        let endpoint = self.endpoints.get(connection.endpoint);
+        let location = endpoint.and_then(|endpoint| endpoint.location);
+        let Some(request) = self.requests.get_mut(exchange.request) else {
             return;
         };
+        request.possible_runs.push(PossibleRun {
+            number: exchange.number,
+            endpoint: connection.endpoint,
+            location,
+        });
         let remaining_ms = remaining_ms(exchange.expire_at - now);
         let mut added = format!("X-Remaining-Ms: {remaining_ms}\r\n");
         if !request.has_host {
--- a/crates/proxy/src/discovery/list_update.rs
+++ b/crates/proxy/src/discovery/list_update.rs
@@ -1,13 +1,13 @@
 //! Applies endpoint lists in the JSON format of discovery to the endpoint table and the policy.
 
-use std::net::SocketAddr;
+use std::rc::Rc;
 
-use pinefront_policy::{ListedEndpoint, Micros};
+use pinefront_policy::{EndpointLocation, ListedEndpoint, Micros};
 use pinefront_settings::fields::{flag, list, number, text, unsigned};
 use serde_json::Value;
 use slog::{info, warn};
 
-use crate::discovery::endpoint_update::stated_start;
+use crate::discovery::endpoint_update::stated_address;
 use crate::discovery::list_error::ListError;
 use crate::discovery::partial_list::{PartialEntry, PartialList};
 use crate::discovery::polling_schedule::ListSummary;
@@ -50,14 +50,14 @@
         let now = self.state.borrow().now();
         let entries = list(document, "targets")?;
         let is_complete = flag(document, "all")?;
-        if is_complete {
-            let stays_usable = self.balancer.settings().unlisted_stay_usable;
-            self.state.borrow_mut().mark_all_removed(now, stays_usable);
-        }
+        let stays_usable = self.balancer.settings().unlisted_stay_usable;
+        let mut state = self.state.borrow_mut();
+        state.begin_endpoint_list(now, is_complete, stays_usable);
+        drop(state);
         self.balancer.endpoint_list_started(now, is_complete);
         let start_times = self.state.borrow_mut().start_times(now, entries);
         for entry in entries {
-            if let Err(error) = self.apply_entry(now, entry, start_times) {
+            if let Err(error) = self.apply_entry(now, entry, is_complete, start_times) {
                 // The other entries are applied despite a malformed one.
                 warn!(self.state.borrow().log, "endpoint list entry malformed"; "error" => %error);
                 if let Ok(id) = text(entry, "uid") {
@@ -65,10 +65,11 @@
                 }
             }
         }
+        let replaced = self.state.borrow_mut().replace_superseded_endpoints();
+        self.report_replaced_endpoints(&replaced);
         self.balancer.endpoint_list_ended(now);
-        let mut state = self.state.borrow_mut();
-        state.remove_departed_endpoints();
-        state.discovery.last_list_at = now;
+        self.remove_departed_endpoints();
+        self.state.borrow_mut().discovery.last_list_at = now;
         Ok(ListSummary {
             version,
             is_complete,
@@ -76,17 +77,44 @@
         })
     }
 
+    fn report_replaced_endpoints(&mut self, ids: &[Rc<str>]) {
+        for id in ids {
+            self.balancer.endpoint_replaced(id);
+        }
+    }
+
+    /// Deletes the endpoints that can't be used any more.
+    pub fn remove_departed_endpoints(&mut self) {
+        let is_usable = |id: &str| self.balancer.is_endpoint_usable(id);
+        self.state.borrow_mut().remove_departed_endpoints(is_usable);
+    }
+
     fn apply_entry(
         &mut self,
         now: Micros,
         entry: &Value,
+        is_of_complete_list: bool,
         start_times: StartTimes,
     ) -> Result<(), ListError> {
         let id = text(entry, "uid")?;
+        // A drain or a removal holds even if the address can't be read.
+        let stated = stated_address(entry);
         match text(entry, "state")? {
-            "active" => self.apply_active_entry(id, entry, start_times)?,
-            "leaving" => self.mark_draining(now, id),
-            "left" => self.mark_removed(now, id),
+            "active" => {
+                self.apply_active_entry(id, entry, is_of_complete_list, start_times)?;
+            }
+            "leaving" => {
+                self.mark_draining(now, id);
+                if let Ok(stated) = stated {
+                    self.state.borrow_mut().endpoint_address_stated(id, stated);
+                }
+            }
+            "left" => {
+                if let Ok(stated) = stated {
+                    self.state.borrow_mut().removed_address_stated(id, stated);
+                }
+                self.mark_removed(now, id);
+            }
             other => return Err(ListError::UnknownState(other.to_owned())),
         }
         Ok(())
@@ -96,14 +124,10 @@
         &mut self,
         id: &str,
         entry: &Value,
+        is_of_complete_list: bool,
         start_times: StartTimes,
     ) -> Result<(), ListError> {
-        let address = text(entry, "endpoint")?;
-        let address: SocketAddr = match address.parse() {
-            Ok(address) => address,
-            Err(_) => return Err(ListError::Address(address.to_owned())),
-        };
-        let stated = stated_start(entry)?;
+        let stated = stated_address(entry)?;
         let (cell, weight) = (
             unsigned(entry, "pod_group")?,
             number(entry, "capacity_hint")?,
@@ -112,8 +136,12 @@
         let mut state = self.state.borrow_mut();
         let zone = state.config.zone(zone);
         let machine_type = state.config.machine_type(machine_type);
-        state.endpoint_active(id, address);
-        let started_at = state.started_at(id, stated, start_times);
+        state.endpoint_address_stated(id, stated);
+        let location = EndpointLocation { zone, cell };
+        if !state.endpoint_active(id, location, is_of_complete_list) {
+            return Ok(());
+        }
+        let started_at = state.started_at(id, stated.stated_start, start_times);
         drop(state);
         self.balancer.endpoint_listed(ListedEndpoint {
             id,
@@ -146,6 +174,7 @@
     /// entry that is truncated before its state is most likely a drain, so its endpoint gets no new
     /// requests either until the complete response is received.
     pub fn apply_partial_list(&mut self, partial: &PartialList, requested_changes: bool) {
+        self.apply_partial_addresses(partial);
         let departing = self.departing_entries(partial, requested_changes);
         if departing.is_empty() {
             return;
@@ -169,6 +198,20 @@
             "draining" => departing.len());
     }
 
+    /// Ends the use of endpoints whose address the received entries state for another endpoint.
+    fn apply_partial_addresses(&mut self, partial: &PartialList) {
+        let mut replaced = Vec::new();
+        for entry in &partial.entries {
+            if let Some(address) = entry.address
+                && entry.state.as_deref() != Some("left")
+            {
+                let mut state = self.state.borrow_mut();
+                replaced.extend(state.replace_other_holders(&entry.id, address));
+            }
+        }
+        self.report_replaced_endpoints(&replaced);
+    }
+
     /// Returns the entries of known endpoints that are draining or were removed.
     fn departing_entries<'a>(
         &self,
--- a/crates/proxy/src/discovery/partial_list.rs
+++ b/crates/proxy/src/discovery/partial_list.rs
@@ -1,6 +1,7 @@
 //! Parses endpoint lists that are incomplete: still arriving, or truncated.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde_json::Value;
@@ -15,6 +16,8 @@
     pub id: String,
     /// State of the endpoint; `None` where the text ends before it.
     pub state: Option<String>,
+    /// Address of the endpoint; `None` where the text ends before it, or if it is malformed.
+    pub address: Option<SocketAddr>,
 }
 
 /// The received part of an endpoint list.
@@ -52,13 +55,14 @@
 struct IncompleteEntry {
     id: Option<String>,
     state: Option<String>,
+    address: Option<SocketAddr>,
 }
 
 impl IncompleteEntry {
     /// Takes the fields that were parsed, if they include the id.
     fn take(&mut self) -> Option<PartialEntry> {
-        let state = self.state.take();
-        self.id.take().map(|id| PartialEntry { id, state })
+        let (state, address) = (self.state.take(), self.address.take());
+        self.id.take().map(|id| PartialEntry { id, state, address })
     }
 }
 
@@ -152,6 +156,10 @@
             match key.as_str() {
                 "uid" => self.0.id = text(map.next_value()?),
                 "state" => self.0.state = text(map.next_value()?),
+                "endpoint" => {
+                    let address = text(map.next_value()?);
+                    self.0.address = address.and_then(|address| address.parse().ok());
+                }
                 _ => _ = map.next_value::<IgnoredAny>()?,
             }
         }
--- a/crates/proxy/src/discovery/partial_list/tests.rs
+++ b/crates/proxy/src/discovery/partial_list/tests.rs
@@ -11,6 +11,7 @@
     PartialEntry {
         id: id.into(),
         state: state.map(Into::into),
+        address: None,
     }
 }
 
@@ -18,10 +19,11 @@
 fn a_complete_list_is_parsed_completely() {
     let list = PartialList::read(LIST.as_bytes());
     assert_eq!((list.version, list.is_complete), (Some(43), Some(false)));
-    assert_eq!(
-        list.entries,
-        [entry("s-1", Some("leaving")), entry("s-2", Some("left"))]
-    );
+    let first = PartialEntry {
+        address: Some(([10, 1, 0, 1], 5000).into()),
+        ..entry("s-1", Some("leaving"))
+    };
+    assert_eq!(list.entries, [first, entry("s-2", Some("left"))]);
 }
 
 /// Wherever a list is truncated, the entries before that point are parsed, and no others.
@@ -38,6 +40,10 @@
                 actual.state.is_none() || actual.state == expected.state,
                 "at {length}"
             );
+            assert!(
+                actual.address.is_none() || actual.address == expected.address,
+                "at {length}"
+            );
         }
     }
 }
--- a/crates/proxy/src/discovery/tests.rs
+++ b/crates/proxy/src/discovery/tests.rs
@@ -7,6 +7,8 @@
     TestHarness, list_entry, list_response, local_listener, request_message, send_text,
 };
 
+mod replaced_endpoints;
+
 /// Accepts the first connection to discovery and reads its poll.
 fn first_poll(harness: &mut TestHarness) -> std::net::TcpStream {
     let discovery = harness.discovery.try_clone().unwrap();
--- a/crates/proxy/src/state/counters.rs
+++ b/crates/proxy/src/state/counters.rs
@@ -95,6 +95,8 @@
     list_updates,
     /// Endpoint lists received from another balancer of the zone.
     list_peer_updates,
+    /// Endpoints whose address a list stated for another endpoint.
+    endpoints_replaced,
     /// Incomplete endpoint lists whose removals were applied.
     list_updates_partial,
     /// Polls of discovery that failed.
--- a/crates/proxy/src/state/request.rs
+++ b/crates/proxy/src/state/request.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use pinefront_policy::{AttemptOutcome, Idempotency, Micros};
+use pinefront_policy::{AttemptOutcome, EndpointLocation, Idempotency, Micros};
 use slotmap::SlotMap;
 
-use crate::state::keys::{ClientKey, EndpointConnectionKey, RequestKey};
+use crate::state::keys::{ClientKey, EndpointConnectionKey, EndpointKey, RequestKey};
 
 /// A request that has no final response yet or still has an attempt in flight. Its message consists
 /// of slices of the buffer into which it was read.
@@ -32,6 +32,21 @@
     pub idempotency: Idempotency,
     /// When the first attempt that may have run was sent, in microseconds.
     pub may_have_run_since: Option<Micros>,
+    /// Where attempts may have run: those whose bytes were written, unless their outcome proves
+    /// that they did not run.
+    pub possible_runs: Vec<PossibleRun>,
+}
+
+/// An attempt that was written to a connection and may have run.
+#[derive(Clone, Copy, Debug)]
+pub struct PossibleRun {
+    /// Index of the attempt in its request.
+    pub number: usize,
+    /// The endpoint to which it was sent.
+    pub endpoint: EndpointKey,
+    /// Location of the endpoint at that time; `None` once it is unknown which process received the
+    /// attempt.
+    pub location: Option<EndpointLocation>,
 }
 
 impl Request {
@@ -114,6 +129,17 @@
         Some(client)
     }
 
+    /// Records that it is unknown which process received the attempts at an endpoint.
+    pub fn forget_location(&mut self, endpoint: EndpointKey) {
+        let runs = self
+            .requests
+            .values_mut()
+            .flat_map(|request| &mut request.possible_runs);
+        for run in runs.filter(|run| run.endpoint == endpoint) {
+            run.location = None;
+        }
+    }
+
     /// Records the end of an attempt that was started at `started_at`, in microseconds. Returns
     /// `None` if the request is no longer in flight.
     pub fn finish_attempt(
@@ -127,7 +153,9 @@
         if let Some(connection) = request.attempts.get_mut(number) {
             *connection = None;
         }
-        if !outcome.proves_not_run() {
+        if outcome.proves_not_run() {
+            request.possible_runs.retain(|run| run.number != number);
+        } else {
             request.may_have_run_since.get_or_insert(started_at);
         }
         let finished = FinishedAttempt {
--- a/crates/proxy/src/state/send_refusal.rs
+++ b/crates/proxy/src/state/send_refusal.rs
@@ -11,6 +11,11 @@
     Draining,
     /// The endpoint now has another address.
     AddressChanged,
+    /// A list names another endpoint at the address.
+    Replaced,
+    /// An earlier attempt may have run, and this endpoint may not recognise the repeated request by
+    /// its idempotency key.
+    OutsideIdempotencyScope,
     /// An earlier attempt may have run, and endpoints no longer recognise a repeated request by its
     /// idempotency key.
     IdempotencyWindowPassed,
@@ -34,6 +39,8 @@
             Self::DeadlinePassed => "deadline_passed",
             Self::Draining => "draining",
             Self::AddressChanged => "address_changed",
+            Self::Replaced => "replaced",
+            Self::OutsideIdempotencyScope => "outside_idempotency_scope",
             Self::IdempotencyWindowPassed => "idempotency_window_passed",
             Self::MayHaveRun => "may_have_run",
             Self::AttemptInFlight => "attempt_in_flight",
