A success prolongs the use of an unlisted endpoint and no longer lists it

Cause: one field said both "not listed" and "may be gone".

Test: a_success_prolongs_the_use_of_an_unlisted_endpoint_but_does_not_list_it; two of its three cases fail with the former line.

--- a/crates/policy/src/decisions/attempt_end.rs
+++ b/crates/policy/src/decisions/attempt_end.rs
@@ -208,7 +208,7 @@
             endpoint.unanswered_since = None;
         }
         if ended.succeeded() {
-            (endpoint.unlisted_since, endpoint.last_success) = (None, now);
+            endpoint.last_success = now;
             let measured = AttemptLatency {
                 latency,
                 normalized,
--- a/crates/policy/src/state/endpoint.rs
+++ b/crates/policy/src/state/endpoint.rs
@@ -36,6 +36,7 @@
     pub(crate) location: EndpointLocation,
     pub(crate) ready: bool,
     /// Time at which the endpoint was removed from the list, if unlisted endpoints remain usable.
+    /// Only the list clears it: a response does not prove that the endpoint is listed.
     pub(crate) unlisted_since: Option<Micros>,
     /// Average of the listed weights.
     pub(crate) weight: DecayingAverage,
@@ -83,9 +84,11 @@
         }
     }
 
-    /// Returns the time until which an unlisted endpoint remains usable; `None` if it is listed.
+    /// Returns the time until which an unlisted endpoint remains usable; `None` if it is listed. It
+    /// is counted from its removal or its last success, whichever was later.
     pub(crate) fn usable_until(&self) -> Option<Micros> {
-        Some(self.unlisted_since? + UNLISTED_RETENTION_US)
+        let since = self.unlisted_since?;
+        Some(since.max(self.last_success) + UNLISTED_RETENTION_US)
     }
 
     /// Returns whether attempts of this balancer are in flight.
--- a/crates/policy/src/tests/endpoint_list.rs
+++ b/crates/policy/src/tests/endpoint_list.rs
@@ -174,3 +174,29 @@
         (repeated, failed)
     );
 }
+
+/// A success used to clear the removal, so that the endpoint stayed usable without a limit in time
+/// and the proxy, which keeps its own, had no address for it any more.
+#[rstest]
+#[case::before_the_last_success(50_000, 100_000, true)]
+#[case::long_after_the_last_success(50_000, 120_000, false)]
+#[case::without_success(0, 70_000, false)]
+fn a_success_prolongs_the_use_of_an_unlisted_endpoint_but_does_not_list_it(
+    #[case] succeeded_after: Micros,
+    #[case] now: Micros,
+    #[case] expected: bool,
+) {
+    let (mut balancer, _) = balancer_with_unlisted_endpoints(Idempotency::Idempotent);
+    balancer.endpoint_removed(START_AT, "u0");
+    if succeeded_after > 0 {
+        let at = START_AT + succeeded_after * MS;
+        let mut sent = request(&[0], true);
+        sent.attempts[0].in_flight = true;
+        balancer.requests.insert(Rc::clone(&sent.id), sent);
+        let end = attempt_end(0, true, AttemptOutcome::Succeeded, MS);
+        balancer.attempt_ended(at, "t", end);
+    }
+    assert!(balancer.endpoints[0].unlisted_since.is_some());
+    balancer.endpoint_list_ended(START_AT + now * MS);
+    assert_eq!(balancer.is_endpoint_usable("u0"), expected);
+}
