A reload to settings without unlisted endpoints ends their use at once

Cause: the use was withdrawn only where a list removes an endpoint, not where the settings change. settings_changed withdraws all unlisted endpoints now, and the proxy drops what the policy can't use.

Tests: new_settings_withdraw_unlisted_endpoints_that_may_no_longer_be_used (policy) and a_reload_withdraws_unlisted_endpoints_that_may_no_longer_be_used (loopback) fail without the call.

--- a/crates/policy/src/balancer.rs
+++ b/crates/policy/src/balancer.rs
@@ -155,6 +155,9 @@
             .resize(settings.classes.len(), ClassLatency::default());
         self.outliers.reset_groups(settings.outlier_groups());
         self.admission.tenants = vec![DecayingSum::default(); settings.tenant_quotas.len()];
+        if !settings.unlisted_stay_usable {
+            self.endpoints.withdraw_unlisted();
+        }
         self.settings = settings;
         self.queue.sort();
         self.subset.clear();
--- a/crates/policy/src/state/endpoint_table.rs
+++ b/crates/policy/src/state/endpoint_table.rs
@@ -82,6 +82,13 @@
         })
     }
 
+    /// Ends the use of all unlisted endpoints.
+    pub(crate) fn withdraw_unlisted(&mut self) {
+        for endpoint in &mut self.slots {
+            endpoint.ready &= endpoint.unlisted_since.is_none();
+        }
+    }
+
     /// Frees the slots of endpoints that were unlisted long ago and to which no open request can
     /// have been sent.
     pub(crate) fn evict_unlisted(&mut self, now: Micros) {
--- a/crates/policy/src/tests/endpoint_list.rs
+++ b/crates/policy/src/tests/endpoint_list.rs
@@ -200,3 +200,15 @@
     balancer.endpoint_list_ended(START_AT + now * MS);
     assert_eq!(balancer.is_endpoint_usable("u0"), expected);
 }
+
+#[test]
+fn new_settings_withdraw_unlisted_endpoints_that_may_no_longer_be_used() {
+    let (mut balancer, _) = balancer_with_unlisted_endpoints(Idempotency::Idempotent);
+    balancer.endpoint_removed(START_AT, "u0");
+    let settings = Settings {
+        unlisted_stay_usable: false,
+        ..balancer.settings.clone()
+    };
+    balancer.settings_changed(settings);
+    assert!(!balancer.is_endpoint_usable("u0") && balancer.is_endpoint_usable("u1"));
+}
--- a/crates/proxy/src/discovery/tests/replaced_endpoints.rs
+++ b/crates/proxy/src/discovery/tests/replaced_endpoints.rs
@@ -227,3 +227,17 @@
         assert!(other.accept().is_err());
     }
 }
+
+/// Without `droppedStayOpen` a removed endpoint counts as draining, from the reload on.
+#[test]
+fn a_reload_withdraws_unlisted_endpoints_that_may_no_longer_be_used() {
+    let mut harness = harness();
+    let address = local_listener().local_addr().unwrap();
+    apply(&mut harness, address, OLD);
+    apply(&mut harness, address, OLD_REMOVED);
+    assert!(is_usable(&harness, "old"));
+    let mut settings = harness.proxy.balancer.settings().clone();
+    settings.unlisted_stay_usable = false;
+    harness.proxy.change_settings(settings);
+    assert!(!is_usable(&harness, "old"));
+}
--- a/crates/proxy/src/lifecycle/reload.rs
+++ b/crates/proxy/src/lifecycle/reload.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// Passes new settings to the policy, which may end the use of unlisted endpoints.
+    pub fn change_settings(&mut self, settings: Settings) {
+        self.balancer.settings_changed(settings);
+        self.remove_departed_endpoints();
+    }
+
     /// Repeats a reload whose file was temporarily unreadable.
     pub fn retry_reload(&mut self) {
         let pending = self.state.borrow().pending_reload.clone();
@@ -67,7 +73,7 @@
                 }
                 drop(state);
                 if is_changed {
-                    self.balancer.settings_changed(settings);
+                    self.change_settings(settings);
                 }
             }
             Err(error) => {
