--- a/crates/policy/src/decisions/key_order.rs
+++ b/crates/policy/src/decisions/key_order.rs
@@ -10,6 +10,13 @@
 use crate::{AttemptOutcome, Host, Micros};
 
 impl<H: Host> Balancer<H> {
+    /// Returns whether a request of this class and with this key is ordered by its key, so that the
+    /// order in which requests arrive matters.
+    pub fn is_ordered_by_key(&self, class: usize, key: Option<u64>) -> bool {
+        let class = self.settings.classes.get(class);
+        key.is_some() && class.is_some_and(|class| class.ordered_by_key)
+    }
+
     /// Places a request, or queues it behind others with its key. A request that would wait too
     /// long is answered immediately.
     pub(crate) fn enter_key_queue(&mut self, now: Micros, request: Request) {
--- a/crates/proxy/src/connections/accept.rs
+++ b/crates/proxy/src/connections/accept.rs
@@ -70,6 +70,13 @@
     /// Accepts connections from the backlog. Returns whether the backlog may hold more connections
     /// that can be accepted now.
     pub fn accept(&mut self) -> bool {
+        let may_hold_more = self.accept_batch();
+        let mut state = self.state.borrow_mut();
+        state.ordered_arrivals.record_backlog(may_hold_more);
+        may_hold_more
+    }
+
+    fn accept_batch(&mut self) -> bool {
         let mut has_evicted = false;
         let mut has_accepted = false;
         for _ in 0..MAX_ACCEPTS_PER_ITERATION {
@@ -145,6 +152,7 @@
         match registered {
             Ok(key) => {
                 self.counters.client_connections_accepted += 1;
+                self.ordered_arrivals.record_accept();
                 self.start_client_idle_wait(key);
             }
             Err(error) => {
--- a/crates/proxy/src/connections/client.rs
+++ b/crates/proxy/src/connections/client.rs
@@ -21,6 +21,7 @@
 impl Proxy {
     /// Handles a client connection that became readable or writable.
     pub fn handle_client_ready(&mut self, key: ClientKey) {
+        self.state.borrow_mut().ordered_arrivals.record_event();
         let received = self.state.borrow_mut().receive_from_client(key);
         match received {
             ClientRead::Nothing => {}
@@ -154,7 +155,9 @@
         };
     }
     let limit = read_limit(client);
-    client.read_buffer.fill(&client.socket.stream, limit)
+    client
+        .read_buffer
+        .fill_with_arrival(&client.socket.stream, limit)
 }
 
 /// Classifies the outcome of a read on a connection that is not lingering.
--- a/crates/proxy/src/connections/endpoint.rs
+++ b/crates/proxy/src/connections/endpoint.rs
@@ -17,6 +17,7 @@
 impl Proxy {
     /// Handles a connection to an endpoint that became readable or writable.
     pub fn handle_endpoint_connection_ready(&mut self, key: EndpointConnectionKey) {
+        self.state.borrow_mut().ordered_arrivals.record_event();
         let read = self.state.borrow_mut().read_endpoint_connection(key);
         match read {
             EndpointRead::Nothing => {}
--- a/crates/proxy/src/connections/request.rs
+++ b/crates/proxy/src/connections/request.rs
@@ -13,9 +13,9 @@
     target_path,
 };
 use crate::state::client_connection::READ_AHEAD_BYTES;
-use crate::state::keys::ClientKey;
+use crate::state::keys::{ClientKey, RequestKey};
 use crate::state::proxy::{Proxy, ProxyState};
-use crate::state::request::Request;
+use crate::state::request::{ReadRequest, Request};
 
 #[cfg(test)]
 mod tests;
@@ -64,16 +64,61 @@
         let now = state.now();
         let deadline = state.request_deadline(key, now, parameters.remaining);
         let idempotency = state.config.idempotencies[parameters.class];
-        let id = state.add_request(key, parameters.id, idempotency, &message, &head);
-        drop(borrowed);
-        let arrival = RequestArrival {
-            id: &id,
+        let request = state.add_request(key, parameters.id, idempotency, &message, &head);
+        let arrival = ReadRequest {
+            request,
             class: parameters.class,
             tenant: parameters.tenant,
             deadline,
             work_hint: parameters.work_hint,
             key: parameters.ordering_key,
         };
+        drop(borrowed);
+        self.pass_or_hold_request(now, key, arrival);
+    }
+
+    /// Passes a request to the policy or, if it is ordered by key, holds it until all requests that
+    /// arrived earlier have been read.
+    fn pass_or_hold_request(&mut self, now: Micros, client: ClientKey, request: ReadRequest) {
+        if !self.balancer.is_ordered_by_key(request.class, request.key) {
+            return self.pass_request(now, request);
+        }
+        let mut state = self.state.borrow_mut();
+        let client = state.clients.get(client);
+        let arrived_at = client.map(|client| client.read_buffer.arrived_at());
+        let arrived_at = arrived_at.unwrap_or_default();
+        state.ordered_arrivals.hold(request, arrived_at);
+    }
+
+    /// Passes the held requests to the policy that no earlier one can follow, at the end of an
+    /// iteration of the event loop.
+    pub fn pass_ordered_requests(&mut self) {
+        let (now, arrivals) = {
+            let mut state = self.state.borrow_mut();
+            (state.now(), state.ordered_arrivals.end_iteration())
+        };
+        for arrival in arrivals {
+            self.pass_request(now, arrival);
+        }
+    }
+
+    /// Passes a request to the policy, unless its client has disconnected in the meantime.
+    fn pass_request(&mut self, now: Micros, arrival: ReadRequest) {
+        let state = self.state.borrow();
+        let request = state.requests.get(arrival.request);
+        let Some(request) = request.filter(|request| request.client.is_some()) else {
+            return;
+        };
+        let id = Rc::clone(&request.id);
+        drop(state);
+        let arrival = RequestArrival {
+            id: &id,
+            class: arrival.class,
+            tenant: arrival.tenant,
+            deadline: arrival.deadline,
+            work_hint: arrival.work_hint,
+            key: arrival.key,
+        };
         self.balancer.request_arrived(now, arrival);
     }
 }
@@ -154,7 +199,7 @@
             .max(now)
     }
 
-    /// Adds a client's request to the table and returns its id.
+    /// Adds a client's request to the table and returns its key.
     pub fn add_request(
         &mut self,
         key: ClientKey,
@@ -162,10 +207,9 @@
         idempotency: Idempotency,
         message: &RequestMessage,
         head: &RequestHead,
-    ) -> Rc<str> {
-        let id: Rc<str> = Rc::from(id);
+    ) -> RequestKey {
         let request = self.requests.insert(Request {
-            id: Rc::clone(&id),
+            id: Rc::from(id),
             client: Some(key),
             head: forwarded_head(&message.bytes, head),
             body: http_message::slice_ranges(&message.bytes, &message.body),
@@ -183,7 +227,7 @@
             client.requests_received += 1;
             self.timers.clear(&mut client.timer);
         }
-        id
+        request
     }
 }
 
--- a/crates/proxy/src/connections/request/tests.rs
+++ b/crates/proxy/src/connections/request/tests.rs
@@ -4,6 +4,8 @@
 use crate::connections::http_message::MAX_HEAD_BYTES;
 use crate::test_harness::{TestHarness, request_message, send_text};
 
+mod arrival_order;
+
 /// Returns a request in which one line is replaced by another.
 fn request_with(line: &str, other: &str) -> String {
     request_message("t1", "body").replace(line, other)
--- a/crates/proxy/src/event_loop.rs
+++ b/crates/proxy/src/event_loop.rs
@@ -80,6 +80,10 @@
         if let Some(cluster) = &self.cluster {
             wait = wait.min(cluster.borrow().time_to_next_timer());
         }
+        if !self.ordered_arrivals.is_empty() {
+            // Held requests wait for what arrived before them, which can be read now.
+            wait = 0;
+        }
         let wait = wait.min(MAX_WAIT_US);
         self.loop_iteration.begin(now, now + wait);
         wait
@@ -128,6 +132,7 @@
         }
         let started_at = proxy.state.borrow().now();
         proxy.run_timers();
+        proxy.pass_ordered_requests();
         proxy.run_cluster();
         let mut state = proxy.state.borrow_mut();
         state.record_iteration_time(started_at);
--- a/crates/proxy/src/lifecycle/startup.rs
+++ b/crates/proxy/src/lifecycle/startup.rs
@@ -21,10 +21,12 @@
 use crate::lifecycle::error::StartupError;
 use crate::lifecycle::retry::{is_transient, retry_transient};
 use crate::logging::LogBuffer;
+use crate::state::arrival_time::record_arrival_times;
 use crate::state::clock::{Clock, LoopIteration};
 use crate::state::counters::Counters;
 use crate::state::endpoint::EndpointTable;
 use crate::state::gossip_socket::GossipSocket;
+use crate::state::ordered_arrivals::OrderedArrivals;
 use crate::state::proxy::{Proxy, ProxyHost, ProxyState};
 use crate::state::request::RequestTable;
 use crate::state::socket::RegisteredListener;
@@ -126,6 +128,9 @@
 ) -> Result<Proxy, StartupError> {
     let log = log_buffer.logger(slog::Level::Info);
     let listener = open_listener(&handle, config.listen)?;
+    if let Err(error) = record_arrival_times(&listener.listener) {
+        warn!(log, "arrival times not recorded"; "error" => %error);
+    }
     info!(log, "serving"; "name" => &config.name, "listen" => %config.listen,
         "discovery" => %config.discovery, "version" => env!("CARGO_PKG_VERSION"),
         "max_client_connections" => config.max_client_connections,
@@ -173,6 +178,7 @@
         clients: SlotMap::with_key(),
         endpoint_connections: SlotMap::with_key(),
         requests: RequestTable::default(),
+        ordered_arrivals: OrderedArrivals::default(),
         endpoints: EndpointTable::default(),
         discovery,
         gossip_socket,
--- a/crates/proxy/src/state/buffers.rs
+++ b/crates/proxy/src/state/buffers.rs
@@ -6,6 +6,8 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
+use crate::state::arrival_time::{ArrivalTime, Received, receive};
+
 #[cfg(test)]
 mod tests;
 
@@ -32,21 +34,39 @@
 #[derive(Default)]
 pub struct ReadBuffer {
     bytes: BytesMut,
+    arrived_at: ArrivalTime,
 }
 
 impl ReadBuffer {
     /// Reads until the socket holds no more bytes or the buffer holds `limit` bytes.
     pub fn fill(&mut self, mut stream: &TcpStream, limit: usize) -> ReadOutcome {
+        self.fill_by(limit, |bytes| {
+            let count = stream.read(bytes)?;
+            let arrived_at = ArrivalTime::default();
+            Ok(Received { count, arrived_at })
+        })
+    }
+
+    /// Reads like [`ReadBuffer::fill`], and keeps when the last byte arrived.
+    pub fn fill_with_arrival(&mut self, stream: &TcpStream, limit: usize) -> ReadOutcome {
+        self.fill_by(limit, |bytes| receive(stream, bytes))
+    }
+
+    fn fill_by(
+        &mut self,
+        limit: usize,
+        mut read: impl FnMut(&mut [u8]) -> io::Result<Received>,
+    ) -> ReadOutcome {
         while self.bytes.len() < limit {
             let filled = self.bytes.len();
             let chunk = READ_CHUNK_BYTES.min(limit - filled);
             self.bytes.resize(filled + chunk, 0);
-            let read = stream.read(&mut self.bytes[filled..]);
-            let count = read.as_ref().map_or(0, |count| *count);
+            let read = read(&mut self.bytes[filled..]);
+            let count = read.as_ref().map_or(0, |received| received.count);
             self.bytes.truncate(filled + count);
             match read {
-                Ok(0) => return ReadOutcome::Closed,
-                Ok(_) => {}
+                Ok(Received { count: 0, .. }) => return ReadOutcome::Closed,
+                Ok(received) => self.arrived_at = received.arrived_at,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     return ReadOutcome::WouldBlock;
@@ -57,6 +77,11 @@
         ReadOutcome::Full
     }
 
+    /// When the last byte that was read arrived.
+    pub fn arrived_at(&self) -> ArrivalTime {
+        self.arrived_at
+    }
+
     /// The bytes in the buffer.
     pub fn bytes(&self) -> &[u8] {
         &self.bytes
--- a/crates/proxy/src/state/mod.rs
+++ b/crates/proxy/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state of the proxy: connections, requests, endpoints, timers and counters. Events are
 //! handled in other modules.
 
+pub mod arrival_time;
 pub mod buffers;
 pub mod client_connection;
 pub mod clock;
@@ -9,6 +10,7 @@
 pub mod endpoint_connection;
 pub mod gossip_socket;
 pub mod keys;
+pub mod ordered_arrivals;
 pub mod proxy;
 pub mod request;
 pub mod send_refusal;
--- a/crates/proxy/src/state/proxy.rs
+++ b/crates/proxy/src/state/proxy.rs
@@ -19,7 +19,8 @@
 use crate::state::endpoint_connection::EndpointConnection;
 use crate::state::gossip_socket::GossipSocket;
 use crate::state::keys::{ClientKey, EndpointConnectionKey, RequestKey};
-use crate::state::request::RequestTable;
+use crate::state::ordered_arrivals::OrderedArrivals;
+use crate::state::request::{ReadRequest, RequestTable};
 use crate::state::socket::RegisteredListener;
 use crate::state::timers::Timers;
 
@@ -64,6 +65,8 @@
     pub endpoint_connections: SlotMap<EndpointConnectionKey, EndpointConnection>,
     /// Requests in flight.
     pub requests: RequestTable,
+    /// Requests that are ordered by key and wait for earlier ones to be read.
+    pub ordered_arrivals: OrderedArrivals<ReadRequest>,
     /// Endpoints that have been named in an endpoint list.
     pub endpoints: EndpointTable,
     /// Connections to discovery, and the schedule of its polls.
--- a/crates/proxy/src/state/request.rs
+++ b/crates/proxy/src/state/request.rs
@@ -37,6 +37,23 @@
     pub possible_runs: Vec<PossibleRun>,
 }
 
+/// A request that was read and not yet passed to the policy.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadRequest {
+    /// The request.
+    pub request: RequestKey,
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its tenant.
+    pub tenant: usize,
+    /// Time by which the response must be sent to the client, in microseconds.
+    pub deadline: Micros,
+    /// Expected service time in microseconds, if the client gives one.
+    pub work_hint: Option<Micros>,
+    /// Hash of its ordering key.
+    pub key: Option<u64>,
+}
+
 /// An attempt that was written to a connection and may have run.
 #[derive(Clone, Copy, Debug)]
 pub struct PossibleRun {
--- a/crates/proxy/src/test_harness.rs
+++ b/crates/proxy/src/test_harness.rs
@@ -12,6 +12,7 @@
 use crate::connections::request_parser::RequestMessage;
 use crate::lifecycle::startup::open;
 use crate::logging::LogBuffer;
+use crate::state::arrival_time::{ArrivalTime, receive, record_arrival_times};
 use crate::state::counters::Counters;
 use crate::state::keys::{ClientKey, EndpointConnectionKey, RequestKey};
 use crate::state::proxy::{Proxy, ProxyHost};
@@ -155,6 +156,7 @@
                 .dispatch(Some(Duration::from_millis(1)), &mut self.proxy)
                 .unwrap();
             self.proxy.run_timers();
+            self.proxy.pass_ordered_requests();
         }
     }
 
@@ -316,6 +318,23 @@
     listener
 }
 
+/// Waits until the kernel records arrival times, which it begins to do some time after the first
+/// socket on the machine has asked for them.
+pub fn await_recorded_arrivals() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    record_arrival_times(&listener).unwrap();
+    let address = listener.local_addr().unwrap();
+    let started_at = Instant::now();
+    let is_recorded = || {
+        send_text(&TcpStream::connect(address).unwrap(), "a");
+        let (stream, _) = listener.accept().unwrap();
+        receive(&stream, &mut [0]).unwrap().arrived_at != ArrivalTime::default()
+    };
+    while !is_recorded() {
+        assert!(started_at.elapsed() < EVENT_TIMEOUT, "no arrival recorded");
+    }
+}
+
 /// Sends a text.
 pub fn send_text(mut stream: &TcpStream, text: &str) {
     stream.write_all(text.as_bytes()).unwrap();
--- a/crates/testbed/shim/shim.c
+++ b/crates/testbed/shim/shim.c
@@ -111,6 +111,25 @@
     return real(fd, bytes, length, flags);
 }
 
+ssize_t recvmsg(int fd, struct msghdr *message, int flags) {
+    REAL(recvmsg);
+    if (!control || (flags & MSG_PEEK)) return real(fd, message, flags);
+    if (happens(control->interrupted_calls)) {
+        errno = EINTR;
+        return -1;
+    }
+    if (break_connection(fd)) return -1;
+    struct iovec *parts = message->msg_iov;
+    if (message->msg_iovlen == 1 && parts->iov_len > 1 && happens(control->short_calls)) {
+        size_t length = parts->iov_len;
+        parts->iov_len = 1 + next() % (length < 64 ? length : 64);
+        ssize_t received = real(fd, message, flags);
+        parts->iov_len = length;
+        return received;
+    }
+    return real(fd, message, flags);
+}
+
 static void delay_write(void) {
     if (control && happens(control->delayed_writes)) usleep((useconds_t)(next() % (uint64_t)(control->write_delay_us + 1)));
 }
