A keyed request is repeated only between listed endpoints

Where discovery takes longer, requests go on by the name of a removed server, and a retry compared the cell of that name though nothing shows which process is at its address by then.

Change: the location of an endpoint is known only while it is listed. An attempt that may have run at an unlisted endpoint is repeated nowhere, and none is repeated at one, unless all endpoints drop repeats. The policy and the send guard ask known_location.

--- a/crates/policy/src/decisions/placement.rs
+++ b/crates/policy/src/decisions/placement.rs
@@ -153,7 +153,7 @@
         Attempt {
             idle_for: idle_since.map(|since| now.saturating_sub(since)),
             load_before,
-            ..Attempt::new(index, endpoint.location, now, sample)
+            ..Attempt::new(index, endpoint.known_location(), now, sample)
         }
     }
 }
--- a/crates/policy/src/decisions/retry.rs
+++ b/crates/policy/src/decisions/retry.rs
@@ -64,7 +64,7 @@
         else {
             return true;
         };
-        let location = Some(self.endpoints[index].location);
+        let location = self.endpoints[index].known_location();
         let mut earlier = request.attempts_that_may_have_run();
         earlier.all(|attempt| scope.is_shared(attempt.location, location))
     }
--- a/crates/policy/src/state/endpoint.rs
+++ b/crates/policy/src/state/endpoint.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Returns where the endpoint is; `None` while it is unlisted, as another process may have been
+    /// started at its address since.
+    pub(crate) fn known_location(&self) -> Option<EndpointLocation> {
+        self.unlisted_since.is_none().then_some(self.location)
+    }
+
     /// Returns the time until which an unlisted endpoint remains usable; `None` if it is listed. It
     /// is counted from its removal or its last success, whichever was later.
     pub(crate) fn usable_until(&self) -> Option<Micros> {
--- a/crates/policy/src/state/request.rs
+++ b/crates/policy/src/state/request.rs
@@ -29,13 +29,13 @@
 impl Attempt {
     pub(crate) fn new(
         endpoint: usize,
-        location: EndpointLocation,
+        location: Option<EndpointLocation>,
         sent_at: Micros,
         sample: Option<DecisionSample>,
     ) -> Self {
         Self {
             endpoint,
-            location: Some(location),
+            location,
             sent_at,
             in_flight: true,
             may_have_run: true,
--- a/crates/policy/src/tests.rs
+++ b/crates/policy/src/tests.rs
@@ -220,10 +220,8 @@
 
 /// Returns the location of an endpoint of [`balancer`].
 fn location(index: usize) -> EndpointLocation {
-    EndpointLocation {
-        zone: 0,
-        cell: index as u64 % 2,
-    }
+    let cell = index as u64 % 2;
+    EndpointLocation { zone: 0, cell }
 }
 
 /// Creates a request that was attempted at these endpoints of [`balancer`].
@@ -231,7 +229,7 @@
     let sent = |&index| Attempt {
         in_flight: false,
         may_have_run,
-        ..Attempt::new(index, location(index), START_AT, None)
+        ..Attempt::new(index, Some(location(index)), START_AT, None)
     };
     let (objective_at, deadline) = (START_AT + 400 * MS, START_AT + 5_000 * MS);
     let attempts = endpoints.iter().map(sent).collect();
--- a/crates/policy/src/tests/endpoint_list.rs
+++ b/crates/policy/src/tests/endpoint_list.rs
@@ -132,6 +132,10 @@
     balancer.endpoint_replaced("u0");
 }
 
+fn remove_u2(balancer: &mut Balancer<RecordingHost>) {
+    balancer.endpoint_removed(START_AT, "u2");
+}
+
 fn list_u0_again(balancer: &mut Balancer<RecordingHost>) {
     balancer.endpoint_listed(listed("u0", 0, 0, 0));
 }
@@ -141,7 +145,7 @@
 }
 
 /// Guards against review case 6: a request that ran at the new server was repeated in the cell of
-/// the old one. Nobody discards a repetition for certain, so the request is answered immediately.
+/// the old one. No endpoint discards a repetition for certain, so the request is answered immediately.
 #[rstest]
 #[case::replaced(CELL_SCOPED_KEY, AttemptOutcome::ConnectionLost, replace_u0, 0, 1)]
 #[case::listed_in_another_cell(
@@ -152,6 +156,20 @@
     1
 )]
 #[case::listed_as_before(CELL_SCOPED_KEY, AttemptOutcome::ConnectionLost, list_u0_again, 1, 0)]
+#[case::removed_after_it_was_sent(
+    CELL_SCOPED_KEY,
+    AttemptOutcome::ConnectionLost,
+    |balancer: &mut Balancer<RecordingHost>| balancer.endpoint_removed(START_AT, "u0"),
+    1,
+    0
+)]
+#[case::the_only_other_one_removed(
+    CELL_SCOPED_KEY,
+    AttemptOutcome::ConnectionLost,
+    remove_u2,
+    0,
+    1
+)]
 #[case::not_run(CELL_SCOPED_KEY, AttemptOutcome::Unreachable, replace_u0, 1, 0)]
 #[case::discarded_everywhere(ALL_SCOPED_KEY, AttemptOutcome::ConnectionLost, replace_u0, 1, 0)]
 fn a_request_at_a_replaced_endpoint_is_not_repeated_in_its_cell(
@@ -175,6 +193,29 @@
     );
 }
 
+/// Nothing shows which process is at the address of an endpoint that is not on the list.
+#[rstest]
+#[case::may_have_run(CELL_SCOPED_KEY, AttemptOutcome::ConnectionLost, 1)]
+#[case::not_run(CELL_SCOPED_KEY, AttemptOutcome::Unreachable, 2)]
+#[case::discarded_everywhere(ALL_SCOPED_KEY, AttemptOutcome::ConnectionLost, 2)]
+fn a_request_that_was_sent_to_an_unlisted_endpoint_is_not_repeated_in_its_cell(
+    #[case] idempotency: Idempotency,
+    #[case] outcome: AttemptOutcome,
+    #[case] attempts: usize,
+) {
+    let (mut balancer, recorder) = balancer_with_unlisted_endpoints(idempotency);
+    for id in ["u1", "u2", "u3"] {
+        balancer.endpoint_draining(id);
+    }
+    balancer.endpoint_removed(START_AT, "u0");
+    arrive(&mut balancer, START_AT, "a");
+    balancer.endpoint_listed(listed("u2", 0, 0, 0));
+    balancer.endpoint_list_ended(START_AT);
+    let end = attempt_end(0, false, outcome, MS);
+    balancer.attempt_ended(START_AT + MS, "a", end);
+    assert_eq!(recorder.count("attempt"), attempts);
+}
+
 /// A success used to clear the removal, so that the endpoint stayed usable without a limit in time
 /// and the proxy, which keeps its own, had no address for it any more.
 #[rstest]
--- a/crates/policy/src/tests/retry.rs
+++ b/crates/policy/src/tests/retry.rs
@@ -252,7 +252,7 @@
     assert!(balancer.is_attempt_permitted(START_AT + MS, &open, 1));
     open.attempts.push(Attempt {
         in_flight: false,
-        ..Attempt::new(1, location(1), START_AT, None)
+        ..Attempt::new(1, Some(location(1)), START_AT, None)
     });
     assert!(!balancer.is_attempt_permitted(START_AT + MS, &open, 2));
 }
--- a/crates/proxy/src/connections/send_guard.rs
+++ b/crates/proxy/src/connections/send_guard.rs
@@ -10,6 +10,7 @@
 use slog::{info, warn};
 
 use crate::state::clock::US_PER_MS;
+use crate::state::endpoint::Endpoint;
 use crate::state::endpoint_connection::{EndpointConnection, Exchange};
 use crate::state::keys::EndpointConnectionKey;
 use crate::state::proxy::ProxyState;
@@ -119,7 +120,7 @@
             return Ok(());
         };
         let endpoint = self.endpoints.get(connection.endpoint);
-        let location = endpoint.and_then(|endpoint| endpoint.location);
+        let location = endpoint.and_then(Endpoint::known_location);
         let mut earlier = request.possible_runs.iter();
         let is_repeat_elsewhere = earlier
             .any(|run| run.number != exchange.number && !scope.is_shared(run.location, location));
@@ -137,7 +138,7 @@
             return;
         };
         let endpoint = self.endpoints.get(connection.endpoint);
-        let location = endpoint.and_then(|endpoint| endpoint.location);
+        let location = endpoint.and_then(Endpoint::known_location);
         let Some(request) = self.requests.get_mut(exchange.request) else {
             return;
         };
--- a/crates/proxy/src/discovery/tests/replaced_endpoints.rs
+++ b/crates/proxy/src/discovery/tests/replaced_endpoints.rs
@@ -184,6 +184,7 @@
 /// repetition. The locations may change while the connection of the repetition is established.
 #[rstest]
 #[case::unchanged(OLD_AGAIN, Ok(()))]
+#[case::removed_later(OLD_REMOVED, Ok(()))]
 #[case::replaced(NEW, Err(SendRefusal::OutsideIdempotencyScope))]
 #[case::other_cell(OLD_IN_OTHER_CELL, Err(SendRefusal::OutsideIdempotencyScope))]
 fn a_request_that_may_have_run_at_another_cell_is_not_repeated(
@@ -205,6 +206,32 @@
     assert_eq!(state.write_attempt(key, now), expected);
 }
 
+/// Nothing shows which process is at the address of an endpoint that is not on the list.
+#[rstest]
+#[case::first_one("old")]
+#[case::second_one("other")]
+fn a_request_is_not_repeated_from_or_to_an_unlisted_endpoint(#[case] unlisted: &str) {
+    let mut harness = harness();
+    let (old, other) = (local_listener(), local_listener());
+    let addresses = [("old", &old), ("other", &other)]
+        .map(|(id, listener)| (id, listener.local_addr().unwrap()));
+    harness.receive_list(&addresses.map(|(id, address)| entry(id, address, "active", 1, 0)));
+    let removed = addresses.into_iter().filter(|(id, _)| *id == unlisted);
+    let removed: Vec<_> = removed
+        .map(|(id, address)| entry(id, address, "left", 1, 0))
+        .collect();
+    harness.receive_list(&removed);
+    let (_client, _) = harness.start_attempt("t1", "old", LONG_TIMEOUT_US);
+    drop(harness.accept_request(&old));
+    harness.first_outcome();
+    harness.start_another_attempt("t1", "other", LONG_TIMEOUT_US);
+    let key = harness.only_endpoint_connection();
+    let mut state = harness.proxy.state.borrow_mut();
+    let now = state.now();
+    let expected = Err(SendRefusal::OutsideIdempotencyScope);
+    assert_eq!(state.write_attempt(key, now), expected);
+}
+
 /// The whole path of case 6: keyed requests run at the new endpoint and lose their connection. None
 /// may be repeated in the cell of the old one, which has not met its key.
 #[test]
--- a/crates/proxy/src/state/endpoint.rs
+++ b/crates/proxy/src/state/endpoint.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Returns where the endpoint is; `None` while it is unlisted, as another process may have been
+    /// started at its address since.
+    pub fn known_location(&self) -> Option<EndpointLocation> {
+        self.location.filter(|_| self.is_listed)
+    }
+
     fn address_rank(&self) -> AddressRank {
         AddressRank {
             is_listed: self.is_listed,
