An old name that is listed again leaves its address to a listed new server

Cause: the claim to an address was kept in the endpoint's record, which is deleted with the endpoint, so its return counted as a new statement in a later list.

A name that was removed and is listed again competes with its old claim; it holds the address where nobody listed came later. Malformed entries state their address too. By this the case for complete lists needs no words of its own: a complete list removes everything first.

Failed on the way: keeping the records of departed endpoints in the table. Four tests of drains use one address for several endpoints and ask that the record is gone; they stand as they were.

--- a/crates/proxy/src/discovery/endpoint_update.rs
+++ b/crates/proxy/src/discovery/endpoint_update.rs
@@ -11,7 +11,8 @@
 use crate::close_reason::CloseReason;
 use crate::discovery::list_error::ListError;
 use crate::discovery::start_times::{ListSource, StartTimes};
-use crate::state::endpoint::{AddressChange, StartTime, StatedAddress};
+use crate::state::address_claims::{Listing, StatedAddress};
+use crate::state::endpoint::StartTime;
 use crate::state::keys::EndpointKey;
 use crate::state::proxy::ProxyState;
 
@@ -70,7 +71,7 @@
 
     /// Begins a list. A complete list removes all endpoints; its entries list them again.
     pub fn begin_endpoint_list(&mut self, now: Micros, is_complete: bool, stays_usable: bool) {
-        self.endpoints.begin_list();
+        self.address_claims.begin_list(now, is_complete);
         if !is_complete {
             return;
         }
@@ -82,24 +83,37 @@
         }
     }
 
-    /// Records that an endpoint was removed from the list. Where unlisted endpoints stay usable, it
-    /// is kept for as long as the policy may use it; otherwise it counts as draining.
-    pub fn endpoint_removed(&mut self, id: &str, now: Micros, stays_usable: bool) {
+    /// Records that an endpoint was removed from the list, whose entry states an address if that
+    /// could be read. Where unlisted endpoints stay usable, the endpoint is kept for as long as the
+    /// policy may use it; otherwise it counts as draining.
+    pub fn endpoint_removed(
+        &mut self,
+        id: &str,
+        stated: Option<StatedAddress>,
+        now: Micros,
+        stays_usable: bool,
+    ) {
         let key = self.endpoints.get_or_insert(id);
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.is_listed = false;
-        }
-        self.endpoints.release_address_if_replaced(key);
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        endpoint.is_listed = false;
+        self.address_claims.removed(&endpoint.id, stated, now);
         if !stays_usable {
             self.mark_endpoint_draining(key, now);
         }
     }
 
-    /// Records that an endpoint is draining.
-    pub fn endpoint_draining(&mut self, id: &str, now: Micros) {
+    /// Records that an endpoint is draining, and the address that its entry states if that could be
+    /// read.
+    pub fn endpoint_draining(&mut self, id: &str, stated: Option<StatedAddress>, now: Micros) {
         let key = self.endpoints.get_or_insert(id);
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.is_listed = true;
+            if let Some(stated) = stated {
+                self.address_claims
+                    .state(&endpoint.id, stated, Listing::Draining);
+            }
         }
         self.mark_endpoint_draining(key, now);
     }
@@ -113,81 +127,62 @@
         }
     }
 
-    /// Records the address that an entry states, whatever the state of its endpoint: no other
-    /// endpoint is at that address any more.
-    pub fn endpoint_address_stated(&mut self, id: &str, stated: StatedAddress) {
-        let key = self.endpoints.get_or_insert(id);
-        if self.endpoints.state_address(key, stated) == AddressChange::Moved {
-            self.close_idle_endpoint_connections(key, CloseReason::AddressChanged);
-        }
-    }
-
-    /// Records the address that the removal of an endpoint states. If the endpoint is known there,
-    /// nothing new is stated.
-    pub fn removed_address_stated(&mut self, id: &str, stated: StatedAddress) {
-        let key = self.endpoints.key_of(id);
-        let known = key.and_then(|key| self.endpoints.get(key)?.address);
-        if known != Some(stated.address) {
-            self.endpoint_address_stated(id, stated);
-        }
-    }
-
-    /// Records that an endpoint is listed as active at this location. Returns whether it accepts
-    /// requests. It does not if another endpoint was listed at its address later, and the entry is
-    /// a change that repeats what was known before. A complete list is judged as a whole.
+    /// Records that an endpoint is listed as active at this address and location. Returns whether
+    /// it may accept requests; it may not if it was replaced and the entry states nothing new.
     pub fn endpoint_active(
         &mut self,
         id: &str,
+        stated: StatedAddress,
         location: EndpointLocation,
-        is_of_complete_list: bool,
     ) -> bool {
         let key = self.endpoints.get_or_insert(id);
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return false;
         };
+        let may_hold_address = self
+            .address_claims
+            .state(&endpoint.id, stated, Listing::Active);
         endpoint.draining_since = None;
         endpoint.is_listed = true;
-        endpoint.is_replaced &= !is_of_complete_list;
-        let accepts_requests = !endpoint.is_replaced;
-        let previous = endpoint.location.replace(location);
-        if previous.is_some_and(|previous| previous != location) {
+        endpoint.is_replaced = !may_hold_address;
+        let previous_address = endpoint.address.replace(stated.address);
+        let previous_location = endpoint.location.replace(location);
+        if previous_address.is_some_and(|previous| previous != stated.address) {
+            self.close_idle_endpoint_connections(key, CloseReason::AddressChanged);
+        }
+        if previous_location.is_some_and(|previous| previous != location) {
             self.requests.forget_location(key);
         }
-        accepts_requests
+        may_hold_address
     }
 
     /// Ends a list: marks the endpoints as replaced whose address another endpoint holds now.
     /// Returns their ids.
-    pub fn replace_superseded_endpoints(&mut self) -> Vec<Rc<str>> {
-        let superseded = self.endpoints.superseded_holders();
-        self.replace_endpoints(superseded)
+    pub fn end_endpoint_list(&mut self) -> Vec<Rc<str>> {
+        let replaced = self.address_claims.end_list();
+        self.replace_endpoints(replaced)
     }
 
     /// Marks the endpoints as replaced that hold an address which a part of a list states for
-    /// another endpoint. An endpoint that is known at this address claims nothing new. Returns the
-    /// ids of the replaced ones.
+    /// another endpoint. Returns their ids.
     pub fn replace_other_holders(&mut self, id: &str, address: SocketAddr) -> Vec<Rc<str>> {
-        let key = self.endpoints.key_of(id);
-        let known = key.and_then(|key| self.endpoints.get(key)?.address);
-        if known == Some(address) {
-            return Vec::new();
-        }
-        let holders = self.endpoints.holders(address).collect();
-        self.replace_endpoints(holders)
+        let replaced = self.address_claims.replace_others(id, address);
+        self.replace_endpoints(replaced)
     }
 
-    /// Ends the use of endpoints whose address belongs to another one: what is sent there runs at
-    /// the other one, and what was sent last may have run there.
-    fn replace_endpoints(&mut self, keys: Vec<EndpointKey>) -> Vec<Rc<str>> {
-        let mut ids = Vec::new();
-        for key in keys {
+    /// Ends the use of endpoints whose address belongs to another one. Requests that are sent there
+    /// run at the other one, and the last ones that were sent may have.
+    fn replace_endpoints(&mut self, ids: Vec<Rc<str>>) -> Vec<Rc<str>> {
+        for id in &ids {
+            let Some(key) = self.endpoints.key_of(id) else {
+                continue;
+            };
             let Some(endpoint) = self.endpoints.get_mut(key) else {
                 continue;
             };
             endpoint.is_replaced = true;
-            info!(self.log, "endpoint replaced"; "endpoint" => &*endpoint.id,
+            info!(self.log, "endpoint replaced"; "endpoint" => &**id,
                 "address" => endpoint.address.map(|address| address.to_string()));
-            ids.push(Rc::clone(&endpoint.id));
             self.counters.endpoints_replaced += 1;
             self.requests.forget_location(key);
             self.close_idle_endpoint_connections(key, CloseReason::AddressChanged);
@@ -212,6 +207,9 @@
         for key in departed {
             self.remove_endpoint(key);
         }
+        let endpoints = &self.endpoints;
+        self.address_claims
+            .forget_departed(now, |id| endpoints.key_of(id).is_some());
     }
 
     /// Closes the idle connections to one endpoint, if it is draining, and deletes it if it has no
--- a/crates/proxy/src/discovery/list_update.rs
+++ b/crates/proxy/src/discovery/list_update.rs
@@ -12,6 +12,7 @@
 use crate::discovery::partial_list::{PartialEntry, PartialList};
 use crate::discovery::polling_schedule::ListSummary;
 use crate::discovery::start_times::StartTimes;
+use crate::state::address_claims::StatedAddress;
 use crate::state::proxy::Proxy;
 
 impl Proxy {
@@ -57,15 +58,15 @@
         self.balancer.endpoint_list_started(now, is_complete);
         let start_times = self.state.borrow_mut().start_times(now, entries);
         for entry in entries {
-            if let Err(error) = self.apply_entry(now, entry, is_complete, start_times) {
+            if let Err(error) = self.apply_entry(now, entry, start_times) {
                 // The other entries are applied despite a malformed one.
                 warn!(self.state.borrow().log, "endpoint list entry malformed"; "error" => %error);
                 if let Ok(id) = text(entry, "uid") {
-                    self.mark_draining(now, id);
+                    self.mark_draining(now, id, stated_address(entry).ok());
                 }
             }
         }
-        let replaced = self.state.borrow_mut().replace_superseded_endpoints();
+        let replaced = self.state.borrow_mut().end_endpoint_list();
         self.report_replaced_endpoints(&replaced);
         self.balancer.endpoint_list_ended(now);
         self.remove_departed_endpoints();
@@ -93,28 +94,15 @@
         &mut self,
         now: Micros,
         entry: &Value,
-        is_of_complete_list: bool,
         start_times: StartTimes,
     ) -> Result<(), ListError> {
         let id = text(entry, "uid")?;
         // A drain or a removal holds even if the address can't be read.
         let stated = stated_address(entry);
         match text(entry, "state")? {
-            "active" => {
-                self.apply_active_entry(id, entry, is_of_complete_list, start_times)?;
-            }
-            "leaving" => {
-                self.mark_draining(now, id);
-                if let Ok(stated) = stated {
-                    self.state.borrow_mut().endpoint_address_stated(id, stated);
-                }
-            }
-            "left" => {
-                if let Ok(stated) = stated {
-                    self.state.borrow_mut().removed_address_stated(id, stated);
-                }
-                self.mark_removed(now, id);
-            }
+            "active" => self.apply_active_entry(id, entry, stated?, start_times)?,
+            "leaving" => self.mark_draining(now, id, stated.ok()),
+            "left" => self.mark_removed(now, id, stated.ok()),
             other => return Err(ListError::UnknownState(other.to_owned())),
         }
         Ok(())
@@ -124,10 +112,9 @@
         &mut self,
         id: &str,
         entry: &Value,
-        is_of_complete_list: bool,
+        stated: StatedAddress,
         start_times: StartTimes,
     ) -> Result<(), ListError> {
-        let stated = stated_address(entry)?;
         let (cell, weight) = (
             unsigned(entry, "pod_group")?,
             number(entry, "capacity_hint")?,
@@ -136,9 +123,8 @@
         let mut state = self.state.borrow_mut();
         let zone = state.config.zone(zone);
         let machine_type = state.config.machine_type(machine_type);
-        state.endpoint_address_stated(id, stated);
         let location = EndpointLocation { zone, cell };
-        if !state.endpoint_active(id, location, is_of_complete_list) {
+        if !state.endpoint_active(id, stated, location) {
             return Ok(());
         }
         let started_at = state.started_at(id, stated.stated_start, start_times);
@@ -155,17 +141,17 @@
     }
 
     /// Marks an endpoint as draining, so that it gets no new requests.
-    fn mark_draining(&mut self, now: Micros, id: &str) {
-        self.state.borrow_mut().endpoint_draining(id, now);
+    fn mark_draining(&mut self, now: Micros, id: &str, stated: Option<StatedAddress>) {
+        self.state.borrow_mut().endpoint_draining(id, stated, now);
         self.balancer.endpoint_draining(id);
     }
 
     /// Marks an endpoint as removed from the list.
-    fn mark_removed(&mut self, now: Micros, id: &str) {
+    fn mark_removed(&mut self, now: Micros, id: &str, stated: Option<StatedAddress>) {
         let stays_usable = self.balancer.settings().unlisted_stay_usable;
         self.state
             .borrow_mut()
-            .endpoint_removed(id, now, stays_usable);
+            .endpoint_removed(id, stated, now, stays_usable);
         self.balancer.endpoint_removed(now, id);
     }
 
@@ -183,8 +169,8 @@
         self.balancer.endpoint_list_started(now, false);
         for entry in &departing {
             match entry.state.as_deref() {
-                Some("left") => self.mark_removed(now, &entry.id),
-                _ => self.mark_draining(now, &entry.id),
+                Some("left") => self.mark_removed(now, &entry.id, None),
+                _ => self.mark_draining(now, &entry.id, None),
             }
         }
         self.balancer.endpoint_list_ended(now);
--- a/crates/proxy/src/discovery/tests/replaced_endpoints.rs
+++ b/crates/proxy/src/discovery/tests/replaced_endpoints.rs
@@ -98,6 +98,15 @@
 #[case::new_one_removed_too(&[OLD, OLD_REMOVED, NEW, NEW_REMOVED], false, true)]
 #[case::old_one_restarted_there(&[OLD, NEW, NEW_REMOVED, OLD_RESTARTED], true, false)]
 #[case::old_one_listed_again(&[OLD, OLD_REMOVED, NEW, NEW_REMOVED, OLD_AGAIN], true, false)]
+#[case::old_one_flaps_while_the_new_one_is_listed(
+    &[OLD, NEW, OLD_REMOVED, OLD_AGAIN], false, true
+)]
+#[case::old_one_flaps_before_the_new_one_drains(
+    &[OLD, NEW, OLD_REMOVED, OLD_AGAIN, NEW_DRAINING], false, false
+)]
+#[case::old_one_listed_again_behind_a_drain(
+    &[OLD, OLD_REMOVED, NEW_DRAINING, OLD_AGAIN], false, false
+)]
 #[case::old_one_in_a_complete_list(&[OLD, NEW, NEW_REMOVED, OLD], true, false)]
 fn an_endpoint_whose_address_is_stated_for_another_one_is_not_used(
     #[case] lists: &[TestList],
@@ -115,6 +124,21 @@
     );
 }
 
+/// A malformed entry gives its endpoint no requests, and still shows who is at the address.
+#[test]
+fn a_malformed_entry_replaces_the_endpoint_at_its_address() {
+    let mut harness = harness();
+    let address = local_listener().local_addr().unwrap();
+    apply(&mut harness, address, OLD);
+    let mut malformed = entry("new", address, "active", 2, 0);
+    malformed["capacity_hint"] = "much".into();
+    harness.receive_list(&[malformed]);
+    assert_eq!(
+        (is_usable(&harness, "old"), is_usable(&harness, "new")),
+        (false, false)
+    );
+}
+
 #[test]
 fn a_new_endpoint_at_an_address_of_the_cached_list_replaces_the_cached_one() {
     let address = local_listener().local_addr().unwrap();
--- a/crates/proxy/src/lifecycle/startup.rs
+++ b/crates/proxy/src/lifecycle/startup.rs
@@ -21,6 +21,7 @@
 use crate::lifecycle::error::StartupError;
 use crate::lifecycle::retry::{is_transient, retry_transient};
 use crate::logging::LogBuffer;
+use crate::state::address_claims::AddressClaims;
 use crate::state::arrival_time::record_arrival_times;
 use crate::state::clock::{Clock, LoopIteration};
 use crate::state::counters::Counters;
@@ -180,6 +181,7 @@
         requests: RequestTable::default(),
         ordered_arrivals: OrderedArrivals::default(),
         endpoints: EndpointTable::default(),
+        address_claims: AddressClaims::default(),
         discovery,
         gossip_socket,
         cluster: None,
--- a/crates/proxy/src/state/mod.rs
+++ b/crates/proxy/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state of the proxy: connections, requests, endpoints, timers and counters. Events are
 //! handled in other modules.
 
+pub mod address_claims;
 pub mod arrival_time;
 pub mod buffers;
 pub mod client_connection;
--- a/crates/proxy/src/state/proxy.rs
+++ b/crates/proxy/src/state/proxy.rs
@@ -12,6 +12,7 @@
 use crate::cluster::node::ClusterNode;
 use crate::config::Config;
 use crate::discovery::state::Discovery;
+use crate::state::address_claims::AddressClaims;
 use crate::state::client_connection::ClientConnection;
 use crate::state::clock::{Clock, LoopIteration};
 use crate::state::counters::Counters;
@@ -69,6 +70,8 @@
     pub ordered_arrivals: OrderedArrivals<ReadRequest>,
     /// Endpoints that have been named in an endpoint list.
     pub endpoints: EndpointTable,
+    /// Which endpoints hold their addresses.
+    pub address_claims: AddressClaims,
     /// Connections to discovery, and the schedule of its polls.
     pub discovery: Discovery,
     /// Socket for gossip between balancers, if the settings allow it.
