--- a/crates/proxy/src/discovery/tests/replaced_endpoints.rs
+++ b/crates/proxy/src/discovery/tests/replaced_endpoints.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use nanorand::{Rng, WyRand};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -124,6 +125,59 @@
     );
 }
 
+/// Draws a list of changes or a complete list, of a few endpoints at a few addresses.
+fn random_list(random: &mut WyRand, version: u64) -> Value {
+    let is_complete = random.generate_range(0..4_u32) == 0;
+    let states = if is_complete {
+        &["active", "leaving"][..]
+    } else {
+        &["active", "active", "leaving", "left", "unreadable"]
+    };
+    let entries = (0..random.generate_range(0..4_u32)).map(|_| {
+        let id = format!("s{}", random.generate_range(0..5_u32));
+        let port = random.generate_range(1..4_u16);
+        let state = states[random.generate_range(0..states.len())];
+        let cell = random.generate_range(0..2_u64);
+        let boot_ms = random.generate_range(0..3_u64);
+        entry(&id, ([127, 0, 0, 1], port).into(), state, cell, boot_ms)
+    });
+    let entries: Vec<Value> = entries.collect();
+    json!({"rev": version, "all": is_complete, "targets": entries})
+}
+
+/// Whatever the lists say, the policy and the proxy agree on the endpoints that may be used, and two
+/// of them have one address only if no list tells which came later.
+#[rstest]
+#[case::unlisted_stay_usable(true)]
+#[case::unlisted_drain(false)]
+fn the_tables_agree_and_each_address_has_one_endpoint(#[case] unlisted_stay_usable: bool) {
+    for seed in 0..40 {
+        let mut harness = TestHarness::with_configuration(|document| {
+            document["settings"]["rules"]["droppedStayOpen"] = unlisted_stay_usable.into();
+        });
+        let mut random = WyRand::new_seed(seed);
+        for version in 1..60 {
+            let list = random_list(&mut random, version);
+            harness.proxy.apply_list(&list).unwrap();
+            let ids = (0..5).map(|number| format!("s{number}"));
+            let usable: Vec<_> = ids.filter(|id| is_usable(&harness, id)).collect();
+            let state = harness.proxy.state.borrow();
+            let claims = usable
+                .iter()
+                .map(|id| state.address_claims.claim_of(id).unwrap());
+            let claims: Vec<_> = claims.collect();
+            for (index, one) in claims.iter().enumerate() {
+                let others = claims[..index].iter();
+                let mut at_its_address = others.filter(|other| other.address == one.address);
+                assert!(
+                    at_its_address.all(|other| other.rank == one.rank),
+                    "seed {seed}, version {version}: {usable:?}"
+                );
+            }
+        }
+    }
+}
+
 /// A malformed entry gives its endpoint no requests, and still shows who is at the address.
 #[test]
 fn a_malformed_entry_replaces_the_endpoint_at_its_address() {
--- a/crates/proxy/src/state/address_claims.rs
+++ b/crates/proxy/src/state/address_claims.rs
@@ -52,14 +52,21 @@
 /// The strength of a claim. A listed endpoint prevails over an unlisted one, then the one that a
 /// later list stated first, then the later start, then one that is draining. Endpoints of equal
 /// rank share the address.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
     is_listed: bool,
     list: u64,
     stated_start: Micros,
     listing: Listing,
 }
 
+/// The address and the rank of a claim.
+#[cfg(test)]
+pub struct RankedAddress {
+    pub address: SocketAddr,
+    pub rank: Rank,
+}
+
 impl Claim {
     fn rank(&self) -> Rank {
         Rank {
@@ -201,6 +208,17 @@
         }
     }
 
+    /// Returns the address and the rank of an endpoint's claim.
+    #[cfg(test)]
+    pub fn claim_of(&self, id: &str) -> Option<RankedAddress> {
+        let address = *self.address_by_id.get(id)?;
+        let claim = self.by_address[&address]
+            .iter()
+            .find(|claim| *claim.id == *id)?;
+        let rank = claim.rank();
+        Some(RankedAddress { address, rank })
+    }
+
     fn claim_mut(&mut self, id: &str) -> Option<&mut Claim> {
         let claims = self.by_address.get_mut(self.address_by_id.get(id)?)?;
         claims.iter_mut().find(|claim| *claim.id == *id)
