--- a/crates/proxy/src/connections/request/tests/arrival_order.rs
+++ b/crates/proxy/src/connections/request/tests/arrival_order.rs
@@ -2,7 +2,7 @@
 //! a kept connection overtook an earlier one on a new connection.
 
 use std::collections::HashMap;
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 
 use rstest::rstest;
 
@@ -15,7 +15,7 @@
 /// Clients by name. `kept` was connected before the process is held up.
 struct Clients {
     streams: HashMap<String, TcpStream>,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
 }
 
 impl Clients {
@@ -64,6 +64,17 @@
     clients
 }
 
+/// Answers the requests that reach the endpoint. Their ids have to be these, in this order.
+fn expect_requests(harness: &mut TestHarness, endpoint: &TcpListener, ids: &str) {
+    for id in ids.split_whitespace() {
+        let connection = harness.accept_connection(endpoint);
+        let request = harness.read_until(&connection, "body");
+        let expected = format!("X-Txn: {id}\r\n");
+        assert!(request.contains(&expected), "{id}: {request}");
+        send_text(&connection, CLOSING_RESPONSE);
+    }
+}
+
 #[rstest]
 #[case::new_before_kept("new:opens new:sends kept:sends", "new kept")]
 #[case::kept_before_new("new:opens kept:sends new:sends", "kept new")]
@@ -96,15 +107,7 @@
     let mut harness = start_ordered_by_key();
     let endpoint = harness.add_endpoints();
     let _clients = hold_up(&mut harness, steps);
-    for id in expected.split_whitespace() {
-        let connection = harness.accept_connection(&endpoint);
-        let request = harness.read_until(&connection, "body");
-        assert!(
-            request.contains(&format!("X-Txn: {id}\r\n")),
-            "{id}: {request}"
-        );
-        send_text(&connection, CLOSING_RESPONSE);
-    }
+    expect_requests(&mut harness, &endpoint, expected);
 }
 
 /// The first part was read before the hold, and the rest arrives in it.
@@ -123,15 +126,10 @@
     for step in ["new:opens", "new:sends", "kept:continues", "kept:ends"] {
         clients.play(step);
     }
-    for id in ["new", "kept"] {
-        let connection = harness.accept_connection(&endpoint);
-        let request = harness.read_until(&connection, "body");
-        assert!(request.contains(&format!("X-Txn: {id}\r\n")), "{request}");
-        send_text(&connection, CLOSING_RESPONSE);
-    }
+    expect_requests(&mut harness, &endpoint, "new kept");
 }
 
-/// A request that is held is answered by nobody if its client disconnects, and its key is free.
+/// A held request whose client disconnects is not passed on, and its key is free.
 #[test]
 fn a_disconnect_of_a_held_request_leaves_its_key_free() {
     let mut harness = start_ordered_by_key();
--- a/crates/proxy/src/state/arrival_time.rs
+++ b/crates/proxy/src/state/arrival_time.rs
@@ -1,5 +1,5 @@
-//! Arrival times of bytes as the kernel recorded them. They tell which of two requests arrived
-//! first even if both waited in their sockets while this process was busy or suspended.
+//! Arrival times of bytes as the kernel recorded them. They show which of two requests
+//! arrived first even if both waited in their sockets while this process was busy or suspended.
 
 use std::cmp::Ordering;
 use std::io::{self, IoSliceMut};
