--- a/crates/proxy/src/state/address_claims.rs
+++ b/crates/proxy/src/state/address_claims.rs
@@ -4,7 +4,7 @@
 //! Invariant: of several endpoints that were stated for one address, the one with the greatest rank
 //! holds it, and all others are replaced.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -97,6 +97,8 @@
     lists_applied: u64,
     /// Addresses that the present list has stated.
     stated: Vec<SocketAddr>,
+    /// Endpoints that are draining or were removed.
+    departing: HashSet<Rc<str>>,
 }
 
 impl AddressClaims {
@@ -104,9 +106,12 @@
     pub fn begin_list(&mut self, now: Micros, is_complete: bool) {
         self.lists_applied += 1;
         self.stated.clear();
-        if is_complete {
-            let claims = self.by_address.values_mut().flatten();
-            claims.for_each(|claim| claim.remove(now));
+        if !is_complete {
+            return;
+        }
+        for claim in self.by_address.values_mut().flatten() {
+            claim.remove(now);
+            self.departing.insert(Rc::clone(&claim.id));
         }
     }
 
@@ -115,11 +120,17 @@
     /// may not if it was replaced and has been listed ever since.
     pub fn state(&mut self, id: &Rc<str>, stated: StatedAddress, listing: Listing) -> bool {
         let address = stated.address;
-        if self.address_by_id.get(id).is_some_and(|at| *at != address) {
+        let previous = self.address_by_id.get(id).copied();
+        if previous != Some(address) {
             self.forget(id);
+            self.address_by_id.insert(Rc::clone(id), address);
         }
-        self.address_by_id.insert(Rc::clone(id), address);
         self.stated.push(address);
+        if listing == Listing::Active {
+            self.departing.remove(id);
+        } else {
+            self.departing.insert(Rc::clone(id));
+        }
         let claims = self.by_address.entry(address).or_default();
         let known = claims.iter_mut().find(|claim| claim.id == *id);
         let list = self.lists_applied;
@@ -154,6 +165,7 @@
         }
         if let Some(claim) = self.claim_mut(id) {
             claim.remove(now);
+            self.departing.insert(Rc::clone(id));
         }
     }
 
@@ -188,26 +200,28 @@
         replaced.collect()
     }
 
-    /// Forgets the claims of endpoints that are not in use (`is_known`), once they were removed
-    /// long ago or nobody else has their address.
+    /// Forgets the claims of draining and removed endpoints that are not in use (`is_known`), if they
+    /// were removed long ago or no other endpoint has their address.
     pub fn forget_departed(&mut self, now: Micros, is_known: impl Fn(&str) -> bool) {
-        let mut departed = Vec::new();
-        for claims in self.by_address.values() {
-            let is_shared = claims.len() > 1;
-            let is_departed =
-                |claim: &&Claim| !is_known(&claim.id) && (!is_shared || claim.is_expired(now));
-            departed.extend(
-                claims
-                    .iter()
-                    .filter(is_departed)
-                    .map(|claim| Rc::clone(&claim.id)),
-            );
-        }
-        for id in departed {
-            self.forget(&id);
+        for id in std::mem::take(&mut self.departing) {
+            if is_known(&id) || self.is_needed(&id, now) {
+                self.departing.insert(id);
+            } else {
+                self.forget(&id);
+            }
         }
     }
 
+    /// Whether the claim of a departed endpoint may still have to be compared with others.
+    fn is_needed(&self, id: &str, now: Micros) -> bool {
+        let address = self.address_by_id.get(id);
+        let claims = address.and_then(|address| self.by_address.get(address));
+        claims.is_some_and(|claims| {
+            let mut own = claims.iter().filter(|claim| *claim.id == *id);
+            claims.len() > 1 && own.any(|claim| !claim.is_expired(now))
+        })
+    }
+
     /// Returns the address and the rank of an endpoint's claim.
     #[cfg(test)]
     pub fn claim_of(&self, id: &str) -> Option<RankedAddress> {
